--- a/cmd/siskinloomd/main.go
+++ b/cmd/siskinloomd/main.go
@@ -21,10 +21,10 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(runCommand(), checkCommand())
+	root.AddCommand(runCommand(), checkCommand(), platformCommand())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
+		os.Exit(exitCode(err))
 	}
 }
 
--- /dev/null
+++ b/internal/batchrun/commit.go
@@ -0,0 +1,146 @@
+package batchrun
+
+import (
+	"bytes"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"siskinloom.example/siskinloom/internal/events"
+	"siskinloom.example/siskinloom/internal/kv"
+	"siskinloom.example/siskinloom/internal/policy/batch"
+)
+
+// maxChunkBytes bounds the results written by one transaction, well under what
+// the store takes as one value.
+const maxChunkBytes = 512 << 10
+
+// startWriting writes decided results if there are any and no write is under
+// way. Positions are given out by one writer at a time.
+func (o *Owner) startWriting(j *ownedJob) {
+	j.mu.Lock()
+	_, results := j.job.Undurable()
+	begin := len(results) > 0 && !j.writing && !j.job.Closed()
+	j.writing = j.writing || begin
+	j.mu.Unlock()
+	if begin {
+		o.runs.Go(func() error { o.write(j); return nil })
+	}
+}
+
+func (o *Owner) write(j *ownedJob) {
+	defer func() {
+		j.mu.Lock()
+		j.writing = false
+		j.mu.Unlock()
+		o.kick()
+	}()
+	pause(j.ctx, gatherResults)
+	for j.ctx.Err() == nil {
+		j.mu.Lock()
+		position, results := j.job.Undurable()
+		results = firstChunk(results)
+		j.mu.Unlock()
+		if len(results) == 0 {
+			return
+		}
+		written, err := o.writeChunk(j, position, results)
+		if err == nil {
+			o.durable(j, position, results[:written])
+			continue
+		}
+		events.ResultsDelayed.Log(o.Log, logrus.Fields{"job": j.id, "position": position, "results": len(results), "error": err.Error()})
+		if errors.Is(err, errNotOwner) {
+			o.drop(j.id, j.mark)
+			o.runs.Go(func() error { o.remark(o.lifetime, j.id, j.mark); return nil })
+			return
+		}
+		pause(j.ctx, retryWrite)
+	}
+}
+
+func firstChunk(results []batch.Result) []batch.Result {
+	size := 0
+	for i := range results {
+		size += len(results[i].Output) + len(results[i].Score) + 64
+		if size > maxChunkBytes && i > 0 {
+			return results[:i]
+		}
+	}
+	return results
+}
+
+// errNotOwner is returned when another process owns the job, or nobody does.
+var errNotOwner = errors.New("batchrun: the job's mark has changed")
+
+// writeChunk makes results durable from a position on and returns how many
+// are. A write whose answer was lost is repeated: if it took effect, the chunk
+// stands there and is compared.
+func (o *Owner) writeChunk(j *ownedJob, position int, results []batch.Result) (int, error) {
+	raw, err := encode(results)
+	if err != nil {
+		return 0, err
+	}
+	mark, key := todoKey(o.Name, j.id), doneKey(j.id, position)
+	committed, err := o.Store.Commit(j.ctx, kv.Transaction{
+		Expect: []kv.Expectation{{Key: mark, Revision: j.mark}, {Key: key}},
+		Puts:   []kv.Put{{Key: key, Value: raw}},
+	})
+	if err != nil {
+		return 0, err
+	}
+	if committed.Done {
+		return len(results), nil
+	}
+	return o.compareChunk(j, key, results)
+}
+
+func (o *Owner) compareChunk(j *ownedJob, key string, results []batch.Result) (int, error) {
+	standing, err := o.Store.Read(j.ctx, key)
+	if err != nil {
+		return 0, err
+	}
+	if standing.Revision == 0 {
+		return 0, errNotOwner // the other condition failed: the mark
+	}
+	var there []batch.Result
+	if err := decode(standing.Value, &there); err != nil {
+		return 0, err
+	}
+	if len(there) == 0 || len(there) > len(results) {
+		return 0, errNotOwner
+	}
+	for i := range there {
+		if there[i].Item != results[i].Item || !bytes.Equal(there[i].Output, results[i].Output) || there[i].Score != results[i].Score {
+			return 0, errNotOwner
+		}
+	}
+	return len(there), nil
+}
+
+func (o *Owner) durable(j *ownedJob, position int, results []batch.Result) {
+	j.mu.Lock()
+	j.job.Durable(position + len(results))
+	close(j.readers)
+	j.readers = make(chan struct{})
+	finished := j.job.Finished()
+	j.mu.Unlock()
+	for i := range results {
+		o.noteListed(j, position+i, &results[i])
+	}
+	if finished {
+		events.JobFinished.Log(o.Log, logrus.Fields{"job": j.id, "items": j.job.Total(), "ms": time.Since(j.job.Spec.Submitted).Milliseconds()})
+	}
+}
+
+func (o *Owner) noteListed(j *ownedJob, position int, r *batch.Result) {
+	o.stats.listed.Inc(1)
+	o.stats.sample.UpdateSince(j.job.Spec.Submitted)
+	state := "completed"
+	if r.State == batch.Aborted {
+		o.stats.aborted.Inc(1)
+		state = "aborted"
+	}
+	events.ItemListed.Log(o.Log, logrus.Fields{"job": j.id, "request": r.Item, "position": position, "state": state, "versions": r.Versions, "ms": time.Since(j.job.Spec.Submitted).Milliseconds()})
+}
--- /dev/null
+++ b/internal/batchrun/desk.go
@@ -0,0 +1,242 @@
+package batchrun
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"siskinloom.example/siskinloom/internal/cluster"
+	"siskinloom.example/siskinloom/internal/events"
+	"siskinloom.example/siskinloom/internal/kv"
+	"siskinloom.example/siskinloom/internal/policy/batch"
+	"siskinloom.example/siskinloom/internal/policy/rendezvous"
+	"siskinloom.example/siskinloom/internal/rpcpool"
+)
+
+const (
+	// writeTries bounds how often a submission or an end whose outcome is unknown
+	// is written again; each is idempotent by its condition.
+	writeTries = 3
+	// knownJobs bounds what is remembered of jobs that other processes own.
+	knownJobs = 64
+	// ownerTrust is how long an owner is asked without looking at the record: a
+	// job that moved answers "not mine" at once, so staleness costs one call.
+	ownerTrust = 5 * time.Second
+	// storePoll is the pause between two looks into the store for new results
+	// while the owner does not answer.
+	storePoll = 400 * time.Millisecond
+)
+
+// Desk takes submitters' calls at any process. It is safe for concurrent use.
+type Desk struct {
+	Store      kv.Shared
+	Members    *cluster.Members
+	Peers      *rpcpool.Pool
+	Local      *Owner
+	Log        *logrus.Logger
+	ValueBytes int
+
+	mu    sync.Mutex
+	known map[string]*knownJob
+}
+
+// knownJob is what this process remembers of a job.
+type knownJob struct {
+	record  jobRecord
+	asOf    time.Time
+	results []batch.Result // read from the store; a prefix of all
+	lastKey string         // of the last chunk in results
+}
+
+// Submit accepts a job. nil means that it is durable; ErrNotRun that no part of
+// it runs; ErrOutcomeUnknown that nobody can tell.
+func (d *Desk) Submit(ctx context.Context, spec *batch.Spec) error {
+	if d.remembered(spec.ID) != nil {
+		return nil
+	}
+	parts, err := specParts(spec, d.ValueBytes)
+	if err != nil {
+		return err
+	}
+	err = d.write(ctx, func() (bool, error) { return d.tryAccept(ctx, spec, parts) })
+	if err == nil {
+		events.JobAccepted.Log(d.Log, logrus.Fields{"job": spec.ID, "items": len(spec.Items), "model": spec.Model, "step": spec.Step})
+		return nil
+	}
+	events.JobRefused.Log(d.Log, logrus.Fields{"job": spec.ID, "error": err.Error()})
+	return err
+}
+
+// tryAccept writes the job once; done is true if it stands, by this try or an
+// earlier one.
+func (d *Desk) tryAccept(ctx context.Context, spec *batch.Spec, parts [][]byte) (done bool, err error) {
+	owners := d.Members.Owners()
+	if len(owners) == 0 {
+		return false, errors.Wrap(kv.ErrUnavailable, "no process to own it")
+	}
+	owner := ownerFor(spec.ID, owners)
+	record := jobRecord{Owner: owner, Submitted: spec.Submitted, Total: len(spec.Items), Parts: len(parts)}
+	t, err := acceptance(spec.ID, record, parts)
+	if err != nil {
+		return false, err
+	}
+	committed, err := d.Store.Commit(ctx, t)
+	if err != nil {
+		return false, err
+	}
+	if committed.Done {
+		d.remember(spec.ID, record)
+	}
+	return true, nil // otherwise the key exists: it was accepted before
+}
+
+func acceptance(id string, record jobRecord, parts [][]byte) (kv.Transaction, error) {
+	raw, err := encode(record)
+	if err != nil {
+		return kv.Transaction{}, err
+	}
+	mark, err := encode(todoMark{Fresh: true})
+	if err != nil {
+		return kv.Transaction{}, err
+	}
+	t := kv.Transaction{
+		Expect: []kv.Expectation{{Key: jobKey(id)}},
+		Puts:   []kv.Put{{Key: jobKey(id), Value: raw}, {Key: todoKey(record.Owner, id), Value: mark}},
+	}
+	for i, part := range parts {
+		t.Puts = append(t.Puts, kv.Put{Key: specKey(id, i), Value: part})
+	}
+	return t, nil
+}
+
+// ownerFor chooses the owner of a job, evenly over those that may own it.
+func ownerFor(id string, owners []cluster.Member) string {
+	keys := make([]uint64, len(owners))
+	for i, o := range owners {
+		keys[i] = rendezvous.Key(o.Name)
+	}
+	return owners[rendezvous.Ranked(rendezvous.Key(id), keys, 1)[0]].Name
+}
+
+// write repeats a conditional write until its outcome is known. Once a try may
+// have taken effect, a later refusal no longer means "not run".
+func (d *Desk) write(ctx context.Context, try func() (bool, error)) error {
+	unknown := false
+	var last error
+	for range writeTries {
+		done, err := try()
+		if err == nil && done {
+			return nil
+		}
+		last = err
+		unknown = unknown || errors.Is(err, kv.ErrUnknown)
+		if !unknown || ctx.Err() != nil {
+			break
+		}
+		pause(ctx, retryWrite)
+	}
+	if unknown {
+		return errors.Wrap(ErrOutcomeUnknown, last.Error())
+	}
+	return errors.Wrap(ErrNotRun, last.Error())
+}
+
+// End ends a job. nil means that the end is durable.
+func (d *Desk) End(ctx context.Context, id string) error {
+	if known := d.remembered(id); known != nil && known.record.Ended {
+		return nil
+	}
+	missing := false
+	err := d.write(ctx, func() (bool, error) {
+		done, found, err := d.tryEnd(ctx, id)
+		missing = err == nil && !found
+		return done || missing, err
+	})
+	switch {
+	case missing:
+		return ErrNoJob
+	case err == nil:
+		events.JobEnded.Log(d.Log, logrus.Fields{"job": id})
+	}
+	return err
+}
+
+func (d *Desk) tryEnd(ctx context.Context, id string) (done, found bool, err error) {
+	standing, record, err := d.fetch(ctx, id)
+	if err != nil || standing.Revision == 0 {
+		return false, false, err
+	}
+	if record.Ended {
+		return true, true, nil
+	}
+	record.Ended = true
+	raw, err := encode(record)
+	if err != nil {
+		return false, true, err
+	}
+	committed, err := d.Store.Commit(ctx, kv.Transaction{
+		Expect: []kv.Expectation{{Key: jobKey(id), Revision: standing.Revision}},
+		Puts:   []kv.Put{{Key: jobKey(id), Value: raw}},
+		Remove: []string{todoKey(record.Owner, id)},
+	})
+	if err != nil {
+		return false, true, err
+	}
+	if !committed.Done {
+		return false, true, errors.Wrap(kv.ErrUnknown, "the job moved meanwhile") // look again
+	}
+	d.remember(id, record)
+	return true, true, nil
+}
+
+// fetch reads a job's record from the store and remembers it.
+func (d *Desk) fetch(ctx context.Context, id string) (kv.Record, jobRecord, error) {
+	var record jobRecord
+	standing, err := d.Store.Read(ctx, jobKey(id))
+	if err != nil || standing.Revision == 0 {
+		return standing, record, err
+	}
+	if err := decode(standing.Value, &record); err != nil {
+		return standing, record, err
+	}
+	d.remember(id, record)
+	return standing, record, nil
+}
+
+func (d *Desk) remembered(id string) *knownJob {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.known[id]
+}
+
+func (d *Desk) remember(id string, record jobRecord) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.known == nil {
+		d.known = map[string]*knownJob{}
+	}
+	known := d.known[id]
+	if known == nil {
+		known = &knownJob{}
+		d.known[id] = known
+		d.forgetOldest()
+	}
+	ended := known.record.Ended
+	known.record, known.asOf = record, time.Now()
+	known.record.Ended = ended || record.Ended
+}
+
+func (d *Desk) forgetOldest() {
+	for len(d.known) > knownJobs {
+		oldest := ""
+		for id, k := range d.known {
+			if oldest == "" || k.record.Submitted.Before(d.known[oldest].record.Submitted) {
+				oldest = id
+			}
+		}
+		delete(d.known, oldest)
+	}
+}
--- /dev/null
+++ b/internal/batchrun/moving.go
@@ -0,0 +1,163 @@
+package batchrun
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"siskinloom.example/siskinloom/internal/cluster"
+	"siskinloom.example/siskinloom/internal/events"
+	"siskinloom.example/siskinloom/internal/kv"
+	"siskinloom.example/siskinloom/internal/policy/rendezvous"
+)
+
+const (
+	// moveGrace is how long a process may be unlisted before its jobs move. One
+	// that was killed is back within a second or so and goes on by itself.
+	moveGrace = 300 * time.Millisecond
+	// outageGrace replaces it when the store was away: registrations that lapsed
+	// meanwhile are back within two seconds.
+	outageGrace = 2200 * time.Millisecond
+	// rankDelay keeps processes that saw the same from moving the same jobs: each
+	// waits for those before it.
+	rankDelay = 700 * time.Millisecond
+	// moveTries bounds the tries for one job; each failed one costs a call.
+	moveTries = 5
+)
+
+// Mover moves the jobs of a process that is gone, or of this one when it stops.
+type Mover struct {
+	Self    string
+	Store   kv.Shared
+	Members *cluster.Members
+	Log     *logrus.Logger
+	// Unsettled tells whether the store was away until a moment ago.
+	Unsettled func() bool
+}
+
+// MemberGone moves a process's jobs unless it comes back. It returns when that
+// is done or ctx ends.
+func (m *Mover) MemberGone(ctx context.Context, name string) {
+	grace := moveGrace
+	if m.Unsettled() {
+		grace = outageGrace
+	}
+	pause(ctx, grace+time.Duration(m.rank(name))*rankDelay)
+	if _, back := m.Members.Get(name); back || ctx.Err() != nil || name == m.Self {
+		return
+	}
+	if err := m.MoveAll(ctx, name); err != nil {
+		events.ResultsDelayed.Log(m.Log, logrus.Fields{"owner": name, "error": err.Error()})
+	}
+}
+
+// rank is this process's place among those that could move the jobs.
+func (m *Mover) rank(name string) int {
+	owners := m.Members.Owners()
+	keys := make([]uint64, len(owners))
+	for i, o := range owners {
+		keys[i] = rendezvous.Key(o.Name)
+	}
+	for place, i := range rendezvous.Ranked(rendezvous.Key(name), keys, len(keys)) {
+		if owners[i].Name == m.Self {
+			return place
+		}
+	}
+	return len(owners)
+}
+
+// MoveAll moves every job marked for an owner to others.
+func (m *Mover) MoveAll(ctx context.Context, owner string) error {
+	page, err := m.listMarks(ctx, owner)
+	if err != nil {
+		return err
+	}
+	for _, mark := range page.Records {
+		if err := m.move(ctx, owner, mark); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (m *Mover) listMarks(ctx context.Context, owner string) (page kv.Page, err error) {
+	for range moveTries {
+		if page, err = kv.ReadAll(ctx, m.Store, todoPrefix(owner)); err == nil || ctx.Err() != nil {
+			break
+		}
+		pause(ctx, retryWrite)
+	}
+	return page, err
+}
+
+func (m *Mover) move(ctx context.Context, from string, mark kv.Record) (err error) {
+	for range moveTries {
+		var done bool
+		if done, err = m.tryMove(ctx, from, mark); done || ctx.Err() != nil {
+			return err
+		}
+		pause(ctx, retryWrite)
+	}
+	return err
+}
+
+// tryMove moves one job; done is true if nothing is left to do.
+func (m *Mover) tryMove(ctx context.Context, from string, mark kv.Record) (done bool, err error) {
+	id := jobOfTodo(mark.Key)
+	standing, err := m.Store.Read(ctx, jobKey(id))
+	if err != nil {
+		return false, err
+	}
+	var record jobRecord
+	if err := decode(standing.Value, &record); err != nil {
+		return true, errors.Wrapf(err, "job %s", id)
+	}
+	to, found := m.successor(id, from)
+	if !found {
+		return true, nil // nobody is left; the owner goes on when it is back
+	}
+	record.Owner = to
+	t, err := handover(id, from, to, mark.Revision, standing.Revision, record)
+	if err != nil {
+		return true, err
+	}
+	committed, err := m.Store.Commit(ctx, t)
+	if err != nil {
+		return false, err
+	}
+	if committed.Done {
+		events.JobHandedOn.Log(m.Log, logrus.Fields{"job": id, "from": from, "to": to, "mark": mark.Revision})
+	}
+	return true, nil // otherwise it moved or ended meanwhile
+}
+
+func (m *Mover) successor(id, from string) (string, bool) {
+	var owners []cluster.Member
+	for _, o := range m.Members.Owners() {
+		if o.Name != from {
+			owners = append(owners, o)
+		}
+	}
+	if len(owners) == 0 {
+		return "", false
+	}
+	return ownerFor(id, owners), true
+}
+
+func handover(id, from, to string, mark, standing int64, record jobRecord) (kv.Transaction, error) {
+	raw, err := encode(record)
+	if err != nil {
+		return kv.Transaction{}, err
+	}
+	state, err := encode(todoMark{})
+	if err != nil {
+		return kv.Transaction{}, err
+	}
+	return kv.Transaction{
+		Expect: []kv.Expectation{{Key: todoKey(from, id), Revision: mark}, {Key: jobKey(id), Revision: standing}},
+		Puts:   []kv.Put{{Key: jobKey(id), Value: raw}, {Key: todoKey(to, id), Value: state}},
+		Remove: []string{todoKey(from, id)},
+	}, nil
+}
--- /dev/null
+++ b/internal/batchrun/owner.go
@@ -0,0 +1,349 @@
+package batchrun
+
+import (
+	"context"
+	"net/rpc"
+	"sort"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"siskinloom.example/siskinloom/internal/cluster"
+	"siskinloom.example/siskinloom/internal/directory"
+	"siskinloom.example/siskinloom/internal/dispatch"
+	"siskinloom.example/siskinloom/internal/events"
+	"siskinloom.example/siskinloom/internal/kv"
+	"siskinloom.example/siskinloom/internal/policy/batch"
+)
+
+const (
+	// lookEvery is how often items that wait are looked at without a cause.
+	lookEvery = 25 * time.Millisecond
+	// gatherResults is how long results are gathered for one write. Readers poll
+	// twice a second; at this pace a job costs at most four writes a second.
+	gatherResults = 250 * time.Millisecond
+	// retryWrite is the pause after a write that failed.
+	retryWrite = 200 * time.Millisecond
+)
+
+// Owner runs the jobs whose mark names this process. It is safe for concurrent
+// use.
+type Owner struct {
+	Name      string // of this process
+	Store     kv.Shared
+	Directory *directory.Directory
+	Sender    dispatch.Sender
+	Log       *logrus.Logger
+	Keep      time.Duration // how long results stay readable after submission
+	Registry  metrics.Registry
+
+	// The store's state as the follower of the marks sees it; may be nil.
+	Lost func(error)
+	Back func()
+
+	lifetime context.Context // of Run
+
+	mu    sync.Mutex
+	jobs  map[string]*ownedJob
+	wake  chan struct{}
+	runs  errgroup.Group
+	stats stats
+}
+
+type stats struct {
+	listed  metrics.Counter
+	aborted metrics.Counter
+	broken  metrics.Counter
+	sample  metrics.Timer // from submission to listing
+}
+
+// ownedJob is one job with its lock.
+type ownedJob struct {
+	id     string
+	mark   int64 // revision of the owner's mark; changes only when it is adopted
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu      sync.Mutex
+	job     *batch.Job
+	readers chan struct{} // closed and replaced when results become durable
+	writing bool
+}
+
+// Init prepares the owner; it must be called before anything else.
+func (o *Owner) Init() {
+	o.jobs = map[string]*ownedJob{}
+	o.wake = make(chan struct{}, 1)
+	o.stats = stats{
+		listed:  metrics.GetOrRegisterCounter("batch.items.listed", o.Registry),
+		aborted: metrics.GetOrRegisterCounter("batch.items.aborted", o.Registry),
+		broken:  metrics.GetOrRegisterCounter("batch.runs.broken", o.Registry),
+		sample:  metrics.GetOrRegisterTimer("batch.item", o.Registry),
+	}
+}
+
+// Register offers the owner's calls to other processes.
+func (o *Owner) Register(server *rpc.Server) error {
+	return server.RegisterName(serviceName, &Service{owner: o})
+}
+
+// Run owns jobs until ctx ends.
+func (o *Owner) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	o.lifetime = ctx
+	var listed atomic.Bool
+	marks := &cluster.Follower{
+		Store: o.Store, Prefix: todoPrefix(o.Name), Failed: o.Lost, Recovered: o.Back,
+		Changed: func(r kv.Record) { group.Go(func() error { o.marked(ctx, r, listed.Load()); return nil }) },
+		Deleted: func(key string, revision int64) { o.drop(jobOfTodo(key), revision) },
+		Synced:  func() { listed.Store(true) },
+	}
+	group.Go(func() error { return marks.Run(ctx) })
+	group.Go(func() error { return o.dispatch(ctx) })
+	return group.Wait()
+}
+
+// marked takes in a mark that names this process. One that stood before this
+// process started may belong to its predecessor, whose last write may still
+// take effect; writing the mark anew makes that write's condition fail.
+func (o *Owner) marked(ctx context.Context, mark kv.Record, afterStart bool) {
+	if afterStart {
+		o.adopt(ctx, mark)
+		return
+	}
+	o.remark(ctx, jobOfTodo(mark.Key), mark.Revision)
+}
+
+// remark writes the mark anew if it still has the revision. The follower then
+// tells the new one, and the job is loaded with all results that are durable.
+func (o *Owner) remark(ctx context.Context, id string, revision int64) {
+	raw, err := encode(todoMark{})
+	if err != nil {
+		events.JobUnreadable.Log(o.Log, logrus.Fields{"job": id, "error": err.Error()})
+		return
+	}
+	key := todoKey(o.Name, id)
+	for ctx.Err() == nil {
+		_, err := o.Store.Commit(ctx, kv.Transaction{Expect: []kv.Expectation{{Key: key, Revision: revision}}, Puts: []kv.Put{{Key: key, Value: raw}}})
+		if err == nil {
+			return // written now or by a try whose answer was lost, or not ours any more
+		}
+		pause(ctx, retryWrite)
+	}
+}
+
+// adopt takes a job on. It tries until the store has answered, as nobody else
+// may run the job meanwhile.
+func (o *Owner) adopt(ctx context.Context, mark kv.Record) {
+	id := jobOfTodo(mark.Key)
+	for ctx.Err() == nil {
+		spec, durable, err := o.load(ctx, id, mark)
+		switch {
+		case err == nil:
+			o.begin(ctx, id, mark.Revision, batch.NewJob(spec, durable))
+			return
+		case errors.Is(err, ErrNoJob):
+			return
+		case !errors.Is(err, kv.ErrUnavailable):
+			events.JobUnreadable.Log(o.Log, logrus.Fields{"job": id, "error": err.Error()})
+			return
+		}
+		pause(ctx, retryWrite)
+	}
+}
+
+func (o *Owner) load(ctx context.Context, id string, mark kv.Record) (*batch.Spec, []batch.Result, error) {
+	var state todoMark
+	if err := decode(mark.Value, &state); err != nil {
+		return nil, nil, err
+	}
+	parts, err := kv.ReadAll(ctx, o.Store, specPrefix(id))
+	if err != nil {
+		return nil, nil, err
+	}
+	if len(parts.Records) == 0 {
+		return nil, nil, ErrNoJob
+	}
+	spec, err := joinSpec(parts.Records, len(parts.Records))
+	if err != nil || state.Fresh {
+		return spec, nil, err
+	}
+	done, err := kv.ReadAll(ctx, o.Store, donePrefix(id))
+	if err != nil {
+		return nil, nil, err
+	}
+	results, err := joinDone(done.Records)
+	return spec, results, err
+}
+
+func (o *Owner) begin(ctx context.Context, id string, mark int64, job *batch.Job) {
+	o.mu.Lock()
+	if old := o.jobs[id]; old != nil {
+		if old.mark >= mark {
+			o.mu.Unlock()
+			return
+		}
+		old.cancel()
+	}
+	owned := &ownedJob{id: id, mark: mark, job: job, readers: make(chan struct{})}
+	owned.ctx, owned.cancel = context.WithCancel(ctx)
+	o.jobs[id] = owned
+	o.mu.Unlock()
+	_, _, _, done := job.Counts()
+	events.JobOwned.Log(o.Log, logrus.Fields{"job": id, "mark": mark, "items": job.Total(), "done": done, "model": job.Spec.Model, "min_version": job.Spec.MinVersion, "step": job.Spec.Step})
+	o.kick()
+}
+
+// drop gives a job up whose mark went at a revision: it was ended, or another
+// process owns it.
+func (o *Owner) drop(id string, revision int64) {
+	o.mu.Lock()
+	owned := o.jobs[id]
+	if owned == nil || owned.mark > revision {
+		o.mu.Unlock()
+		return
+	}
+	delete(o.jobs, id)
+	o.mu.Unlock()
+	owned.close()
+	events.JobDropped.Log(o.Log, logrus.Fields{"job": id, "mark": owned.mark, "revision": revision})
+}
+
+// close stops the job's runs.
+func (j *ownedJob) close() {
+	j.mu.Lock()
+	j.job.Close()
+	close(j.readers)
+	j.readers = make(chan struct{})
+	j.mu.Unlock()
+	j.cancel()
+}
+
+func (o *Owner) find(id string) *ownedJob {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.jobs[id]
+}
+
+// Jobs returns the IDs of the jobs owned, with the revision of their marks.
+func (o *Owner) Jobs() map[string]int64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	owned := make(map[string]int64, len(o.jobs))
+	for id, j := range o.jobs {
+		owned[id] = j.mark
+	}
+	return owned
+}
+
+func (o *Owner) kick() {
+	select {
+	case o.wake <- struct{}{}:
+	default:
+	}
+}
+
+// dispatch starts what can be started, whenever something changed.
+func (o *Owner) dispatch(ctx context.Context) error {
+	ticker := time.NewTicker(lookEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-o.wake:
+		case <-ticker.C:
+		}
+		for _, j := range o.byUrgency(time.Now()) {
+			o.startRuns(j)
+			o.startScores(j)
+			o.startWriting(j)
+		}
+	}
+}
+
+func (o *Owner) byUrgency(now time.Time) []*ownedJob {
+	type ranked struct {
+		job  *ownedJob
+		late bool
+		due  time.Time
+	}
+	o.mu.Lock()
+	list := make([]ranked, 0, len(o.jobs))
+	for _, j := range o.jobs {
+		late, due := j.job.Urgency(now)
+		list = append(list, ranked{j, late, due})
+	}
+	o.mu.Unlock()
+	sort.Slice(list, func(a, b int) bool {
+		if list[a].late != list[b].late {
+			return list[b].late
+		}
+		if !list[a].due.Equal(list[b].due) {
+			return list[a].due.Before(list[b].due)
+		}
+		return list[a].job.id < list[b].job.id
+	})
+	jobs := make([]*ownedJob, len(list))
+	for i := range list {
+		jobs[i] = list[i].job
+	}
+	return jobs
+}
+
+// read answers a call for results, waiting for some if none are there.
+func (o *Owner) read(ctx context.Context, args ReadArgs) ReadReply {
+	j := o.find(args.Job)
+	if j == nil {
+		return ReadReply{}
+	}
+	timer := time.NewTimer(args.Wait)
+	defer timer.Stop()
+	for {
+		j.mu.Lock()
+		results, news, closed := j.job.Readable(args.From), j.readers, j.job.Closed()
+		total := j.job.Total()
+		j.mu.Unlock()
+		if closed {
+			return ReadReply{}
+		}
+		if len(results) > 0 || args.From >= total || args.Wait <= 0 {
+			return ReadReply{Owned: true, Total: total, Results: results}
+		}
+		select {
+		case <-news:
+		case <-timer.C:
+			args.Wait = 0
+		case <-ctx.Done():
+			args.Wait = 0
+		}
+	}
+}
+
+func (o *Owner) body(args BodyArgs) BodyReply {
+	j := o.find(args.Job)
+	if j == nil {
+		return BodyReply{}
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	body, found := j.job.Body(args.Item)
+	if !found || !j.job.Unlisted(args.Item) {
+		return BodyReply{Owned: !j.job.Closed()}
+	}
+	return BodyReply{Owned: true, Found: true, Body: body}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/batchrun/reading.go
@@ -0,0 +1,235 @@
+package batchrun
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"siskinloom.example/siskinloom/internal/events"
+	"siskinloom.example/siskinloom/internal/kv"
+	"siskinloom.example/siskinloom/internal/policy/batch"
+)
+
+// Reading is the answer to a read of results.
+type Reading struct {
+	Total   int
+	Results []batch.Result // from the position asked, all durable
+}
+
+// Results returns a job's results from a position on, waiting for some if none
+// are there. ErrNoJob only if the store says so; ErrCannotTell if neither the
+// owner nor the store answers.
+func (d *Desk) Results(ctx context.Context, id string, from int, wait time.Duration) (Reading, error) {
+	until := time.Now().Add(wait)
+	record, err := d.record(ctx, id)
+	if err != nil {
+		return Reading{}, d.cannotTell(id, err)
+	}
+	if !record.Ended {
+		reply, err := d.askOwner(ctx, record.Owner, id, from, wait)
+		if err == nil && reply.Owned {
+			return Reading{Total: reply.Total, Results: reply.Results}, nil
+		}
+	}
+	return d.fromStore(ctx, id, from, until)
+}
+
+func (d *Desk) cannotTell(id string, err error) error {
+	if errors.Is(err, ErrNoJob) {
+		return err
+	}
+	events.ReadFailed.Log(d.Log, logrus.Fields{"job": id, "error": err.Error()})
+	return errors.Wrap(ErrCannotTell, err.Error())
+}
+
+// record returns the job's record: a remembered one while it is recent enough
+// to name the owner, or any remembered one if the store does not answer.
+func (d *Desk) record(ctx context.Context, id string) (jobRecord, error) {
+	known := d.snapshot(id)
+	if known != nil && (known.record.Ended || time.Since(known.asOf) < ownerTrust) {
+		return known.record, nil
+	}
+	standing, record, err := d.fetch(ctx, id)
+	switch {
+	case err != nil && known != nil:
+		return known.record, nil
+	case err != nil:
+		return jobRecord{}, err
+	case standing.Revision == 0:
+		return jobRecord{}, ErrNoJob
+	}
+	return record, nil
+}
+
+func (d *Desk) snapshot(id string) *knownJob {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	known := d.known[id]
+	if known == nil {
+		return nil
+	}
+	copied := *known
+	return &copied
+}
+
+func (d *Desk) askOwner(ctx context.Context, owner, id string, from int, wait time.Duration) (ReadReply, error) {
+	args := ReadArgs{Job: id, From: from, Wait: wait}
+	if owner == d.Local.Name {
+		return d.Local.read(ctx, args), nil
+	}
+	var reply ReadReply
+	err := d.call(ctx, owner, callRead, wait, args, &reply)
+	if err != nil {
+		return ReadReply{}, err // the reply may still be written to
+	}
+	return reply, nil
+}
+
+func (d *Desk) call(ctx context.Context, owner, method string, wait time.Duration, args, reply any) error {
+	member, found := d.Members.Get(owner)
+	if !found {
+		return errors.Errorf("batchrun: %s is not listed", owner)
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+callSlack)
+	defer cancel()
+	return d.Peers.Call(ctx, member.Address, method, args, reply)
+}
+
+// fromStore reads results from the store: the job has ended, or its owner does
+// not answer or has changed.
+func (d *Desk) fromStore(ctx context.Context, id string, from int, until time.Time) (Reading, error) {
+	for {
+		standing, record, err := d.fresh(ctx, id)
+		if err != nil {
+			return Reading{}, d.cannotTell(id, err)
+		}
+		if !standing {
+			return Reading{}, ErrNoJob
+		}
+		results, err := d.storedResults(ctx, id, from)
+		if err != nil {
+			return Reading{}, d.cannotTell(id, err)
+		}
+		if len(results) > 0 || record.Ended || from >= record.Total || time.Until(until) < storePoll || ctx.Err() != nil {
+			return Reading{Total: record.Total, Results: results}, nil
+		}
+		pause(ctx, storePoll)
+		if reply, err := d.askOwner(ctx, record.Owner, id, from, max(0, time.Until(until))); err == nil && reply.Owned {
+			return Reading{Total: reply.Total, Results: reply.Results}, nil
+		}
+	}
+}
+
+// fresh returns the record as the store has it; an ended one cannot change.
+func (d *Desk) fresh(ctx context.Context, id string) (found bool, record jobRecord, err error) {
+	if known := d.snapshot(id); known != nil && known.record.Ended {
+		return true, known.record, nil
+	}
+	standing, record, err := d.fetch(ctx, id)
+	return standing.Revision != 0, record, err
+}
+
+// storedResults returns the durable results from a position on, reading only
+// the chunks that were not read before.
+func (d *Desk) storedResults(ctx context.Context, id string, from int) ([]batch.Result, error) {
+	known := d.snapshot(id)
+	if known == nil {
+		known = &knownJob{}
+	}
+	complete := known.record.Total > 0 && len(known.results) >= known.record.Total
+	if from >= len(known.results) && !complete {
+		if err := d.readChunks(ctx, id, known); err != nil {
+			return nil, err
+		}
+	}
+	if from >= len(known.results) {
+		return nil, nil
+	}
+	return known.results[from:], nil
+}
+
+func (d *Desk) readChunks(ctx context.Context, id string, known *knownJob) error {
+	results, after := known.results[:len(known.results):len(known.results)], known.lastKey
+	for {
+		page, err := d.Store.ReadPage(ctx, donePrefix(id), after)
+		if err != nil {
+			return err
+		}
+		more, err := joinDone(page.Records)
+		if err != nil {
+			return err
+		}
+		results = append(results, more...)
+		if n := len(page.Records); n > 0 {
+			after = page.Records[n-1].Key
+		}
+		if !page.Truncated || len(page.Records) == 0 {
+			break
+		}
+	}
+	known.results, known.lastKey = results, after
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if kept := d.known[id]; kept != nil && len(kept.results) < len(results) {
+		kept.results, kept.lastKey = results, after
+	}
+	return nil
+}
+
+// Body returns the body of an item that is not listed yet. ErrNoJob: the job
+// does not exist, has ended, or has no such item that is not listed.
+func (d *Desk) Body(ctx context.Context, id, item string) ([]byte, error) {
+	record, err := d.record(ctx, id)
+	if err != nil {
+		return nil, d.cannotTell(id, err)
+	}
+	if record.Ended {
+		return nil, ErrNoJob
+	}
+	if reply, err := d.askBody(ctx, record.Owner, id, item); err == nil && reply.Found {
+		return reply.Body, nil
+	}
+	return d.storedBody(ctx, id, item)
+}
+
+func (d *Desk) askBody(ctx context.Context, owner, id, item string) (BodyReply, error) {
+	args := BodyArgs{Job: id, Item: item}
+	if owner == d.Local.Name {
+		return d.Local.body(args), nil
+	}
+	var reply BodyReply
+	if err := d.call(ctx, owner, callBody, 0, args, &reply); err != nil {
+		return BodyReply{}, err
+	}
+	return reply, nil
+}
+
+func (d *Desk) storedBody(ctx context.Context, id, item string) ([]byte, error) {
+	found, record, err := d.fresh(ctx, id)
+	if err != nil {
+		return nil, d.cannotTell(id, err)
+	}
+	if !found || record.Ended {
+		return nil, ErrNoJob
+	}
+	parts, err := kv.ReadAll(ctx, d.Store, specPrefix(id))
+	if err != nil {
+		return nil, d.cannotTell(id, err)
+	}
+	spec, err := joinSpec(parts.Records, record.Parts)
+	if err != nil {
+		return nil, d.cannotTell(id, err)
+	}
+	listed, err := d.storedResults(ctx, id, 0)
+	if err != nil {
+		return nil, d.cannotTell(id, err)
+	}
+	job := batch.NewJob(spec, listed)
+	body, known := job.Body(item)
+	if !known || !job.Unlisted(item) {
+		return nil, ErrNoJob
+	}
+	return body, nil
+}
--- /dev/null
+++ b/internal/batchrun/records.go
@@ -0,0 +1,121 @@
+// Package batchrun carries out batch jobs: it accepts them into the platform's
+// store, runs them at one owner, makes their results durable before anybody
+// sees them, and moves them when an owner goes.
+//
+// Keys: jobs/ID is a job's record, spec/ID/NN its parts, todo/OWNER/ID the
+// mark of its owner, done/ID/NNNNNN its results from that position on. Every
+// result is written under the condition that the owner's mark has the revision
+// that the owner saw, so one that lost its job can list nothing more.
+package batchrun
+
+import (
+	"bytes"
+	"encoding/gob"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"siskinloom.example/siskinloom/internal/kv"
+	"siskinloom.example/siskinloom/internal/policy/batch"
+)
+
+const (
+	prefixJobs = "jobs/"
+	prefixSpec = "spec/"
+	prefixTodo = "todo/"
+	prefixDone = "done/"
+)
+
+// Errors of calls on batch jobs.
+var (
+	// ErrNoJob is returned when the store says that there is no such job.
+	ErrNoJob = errors.New("batchrun: no such batch job")
+	// ErrNotRun is returned for a submission that certainly was not accepted.
+	ErrNotRun = errors.New("batchrun: batch job was not accepted")
+	// ErrOutcomeUnknown is returned for a submission or an end that may have
+	// taken effect.
+	ErrOutcomeUnknown = errors.New("batchrun: outcome is unknown")
+	// ErrTooLarge is returned for a job that the store cannot hold.
+	ErrTooLarge = errors.New("batchrun: batch job is too large")
+	// ErrCannotTell is returned when neither the job's owner nor the store answers.
+	ErrCannotTell = errors.New("batchrun: neither owner nor store answers")
+)
+
+// jobRecord is the value of jobs/ID.
+type jobRecord struct {
+	Owner     string
+	Submitted time.Time
+	Total     int
+	Parts     int
+	Ended     bool
+}
+
+// todoMark is the value of todo/OWNER/ID.
+type todoMark struct {
+	Fresh bool // nothing was done yet
+}
+
+func jobKey(id string) string                { return prefixJobs + id }
+func specPrefix(id string) string            { return prefixSpec + id + "/" }
+func specKey(id string, part int) string     { return fmt.Sprintf("%s%02d", specPrefix(id), part) }
+func todoPrefix(owner string) string         { return prefixTodo + owner + "/" }
+func todoKey(owner, id string) string        { return todoPrefix(owner) + id }
+func donePrefix(id string) string            { return prefixDone + id + "/" }
+func doneKey(id string, position int) string { return fmt.Sprintf("%s%06d", donePrefix(id), position) }
+
+func jobOfTodo(key string) string { return key[strings.LastIndexByte(key, '/')+1:] }
+
+func encode(v any) ([]byte, error) {
+	var b bytes.Buffer
+	err := gob.NewEncoder(&b).Encode(v)
+	return b.Bytes(), errors.Wrap(err, "batchrun: encode")
+}
+
+func decode(raw []byte, v any) error {
+	return errors.Wrap(gob.NewDecoder(bytes.NewReader(raw)).Decode(v), "batchrun: decode")
+}
+
+// specParts encodes a job into values that the store holds.
+func specParts(spec *batch.Spec, valueBytes int) ([][]byte, error) {
+	raw, err := encode(spec)
+	if err != nil {
+		return nil, err
+	}
+	var parts [][]byte
+	for len(raw) > 0 {
+		n := min(len(raw), valueBytes)
+		parts = append(parts, raw[:n])
+		raw = raw[n:]
+	}
+	const others = 3 // the condition, the record and the owner's mark
+	if len(parts) > kv.MaxTransactionEntries-others {
+		return nil, ErrTooLarge
+	}
+	return parts, nil
+}
+
+func joinSpec(records []kv.Record, want int) (*batch.Spec, error) {
+	if len(records) != want {
+		return nil, errors.Errorf("batchrun: %d of %d parts", len(records), want)
+	}
+	var raw []byte
+	for _, r := range records {
+		raw = append(raw, r.Value...)
+	}
+	spec := &batch.Spec{}
+	return spec, decode(raw, spec)
+}
+
+func joinDone(records []kv.Record) ([]batch.Result, error) {
+	var all []batch.Result
+	for _, r := range records {
+		var part []batch.Result
+		if err := decode(r.Value, &part); err != nil {
+			return nil, err
+		}
+		all = append(all, part...)
+	}
+	return all, nil
+}
--- /dev/null
+++ b/internal/batchrun/rpc.go
@@ -0,0 +1,62 @@
+package batchrun
+
+import (
+	"context"
+	"time"
+
+	"siskinloom.example/siskinloom/internal/policy/batch"
+)
+
+// Names of the calls between processes.
+const (
+	serviceName = "Batch"
+	callRead    = serviceName + ".Read"
+	callBody    = serviceName + ".Body"
+)
+
+// callSlack is how much longer than its own wait a call to an owner may take.
+// Owners are milliseconds away; a reader that finds one silent has time left to
+// ask the store.
+const callSlack = 500 * time.Millisecond
+
+// ReadArgs asks an owner for results.
+type ReadArgs struct {
+	Job  string
+	From int
+	Wait time.Duration
+}
+
+// ReadReply is an owner's answer.
+type ReadReply struct {
+	Owned   bool // this process has the job
+	Total   int
+	Results []batch.Result // from the position asked
+}
+
+// BodyArgs asks an owner for an item's body.
+type BodyArgs struct {
+	Job  string
+	Item string
+}
+
+// BodyReply is an owner's answer.
+type BodyReply struct {
+	Owned bool
+	Found bool // the item is not listed yet
+	Body  []byte
+}
+
+// Service answers other processes' calls with an owner's jobs.
+type Service struct{ owner *Owner }
+
+// Read implements the call of that name.
+func (s *Service) Read(args ReadArgs, reply *ReadReply) error {
+	*reply = s.owner.read(context.Background(), args)
+	return nil
+}
+
+// Body implements the call of that name.
+func (s *Service) Body(args BodyArgs, reply *BodyReply) error {
+	*reply = s.owner.body(args)
+	return nil
+}
--- /dev/null
+++ b/internal/cluster/members.go
@@ -0,0 +1,256 @@
+package cluster
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"siskinloom.example/siskinloom/internal/events"
+	"siskinloom.example/siskinloom/internal/kv"
+)
+
+// PrefixMembers is where the system's processes register themselves.
+const PrefixMembers = "members/"
+
+const (
+	// renewShare of a lease's time passes between renewals, so that two may be
+	// lost before it lapses.
+	renewShare = 0.3
+	// registerRetry is the pause after a registration that failed.
+	registerRetry = 300 * time.Millisecond
+)
+
+// Member is one process of the system.
+type Member struct {
+	Name    string
+	Address string // ip:port of the inner protocol
+	Domain  string // failure domain
+	Worker  bool   // takes on batch jobs before others do
+	Leaving bool
+	Boot    int64 // Unix nanoseconds of its start
+}
+
+// Members is the list of the system's live processes. It is safe for
+// concurrent use.
+type Members struct {
+	mu   sync.RWMutex
+	list map[string]Member
+}
+
+// NewMembers returns an empty list.
+func NewMembers() *Members { return &Members{list: map[string]Member{}} }
+
+// Get returns a member.
+func (m *Members) Get(name string) (Member, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	member, found := m.list[name]
+	return member, found
+}
+
+// Live returns the members sorted by name.
+func (m *Members) Live() []Member {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	live := make([]Member, 0, len(m.list))
+	for _, member := range m.list {
+		live = append(live, member)
+	}
+	sort.Slice(live, func(i, j int) bool { return live[i].Name < live[j].Name })
+	return live
+}
+
+// Owners returns the members that may take on work: workers that stay, or if
+// there are none, any member that stays.
+func (m *Members) Owners() []Member {
+	var workers, others []Member
+	for _, member := range m.Live() {
+		switch {
+		case member.Leaving:
+		case member.Worker:
+			workers = append(workers, member)
+		default:
+			others = append(others, member)
+		}
+	}
+	if len(workers) > 0 {
+		return workers
+	}
+	return others
+}
+
+func (m *Members) put(member Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.list[member.Name] = member
+}
+
+func (m *Members) remove(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.list, name)
+}
+
+// Registrar keeps this process registered under a lease and follows the
+// registrations of the others.
+type Registrar struct {
+	Store   kv.Shared
+	Self    Member
+	TTL     time.Duration
+	Members *Members
+	Log     *logrus.Logger
+	// Gone is called when a member's registration ends, including this process's
+	// own.
+	Gone func(name string)
+	// The store's state as the followers see it; may be nil.
+	Failed    func(error)
+	Recovered func()
+
+	mu      sync.Mutex
+	lease   kv.LeaseID
+	leaving bool
+	again   chan struct{} // the registration must be made anew
+}
+
+// Run registers this process and follows the others until ctx ends.
+func (r *Registrar) Run(ctx context.Context) error {
+	r.again = make(chan struct{}, 1)
+	follower := &Follower{Store: r.Store, Prefix: PrefixMembers, Changed: r.changed, Deleted: r.deleted, Failed: r.Failed, Recovered: r.Recovered}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.keep(ctx)
+	}()
+	err := follower.Run(ctx)
+	<-done
+	return err
+}
+
+func (r *Registrar) changed(record kv.Record) {
+	var member Member
+	if err := gob.NewDecoder(bytes.NewReader(record.Value)).Decode(&member); err != nil {
+		events.EndpointBad.Log(r.Log, logrus.Fields{"key": record.Key, "error": err.Error()})
+		return
+	}
+	r.Members.put(member)
+	events.MemberListed.Log(r.Log, logrus.Fields{"member": member.Name, "leaving": member.Leaving, "revision": record.Revision})
+}
+
+func (r *Registrar) deleted(key string, revision int64) {
+	name := strings.TrimPrefix(key, PrefixMembers)
+	r.Members.remove(name)
+	events.MemberGone.Log(r.Log, logrus.Fields{"member": name, "revision": revision})
+	if name == r.Self.Name {
+		events.MemberLapsed.Log(r.Log, logrus.Fields{"member": name})
+		r.anew()
+	}
+	if r.Gone != nil {
+		r.Gone(name)
+	}
+}
+
+func (r *Registrar) anew() {
+	select {
+	case r.again <- struct{}{}:
+	default:
+	}
+}
+
+// keep holds the registration: it renews the lease and registers anew when the
+// lease or its key was lost.
+func (r *Registrar) keep(ctx context.Context) {
+	wait := time.Duration(0)
+	for {
+		timer := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-r.again:
+			timer.Stop()
+			r.forget()
+		case <-timer.C:
+		}
+		wait = r.step(ctx)
+	}
+}
+
+func (r *Registrar) forget() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lease = 0
+}
+
+func (r *Registrar) step(ctx context.Context) time.Duration {
+	r.mu.Lock()
+	lease, leaving := r.lease, r.leaving
+	r.mu.Unlock()
+	renew := time.Duration(renewShare * float64(r.TTL))
+	if lease == 0 {
+		if r.register(ctx, leaving) != nil {
+			return registerRetry
+		}
+		return renew
+	}
+	if err := r.Store.KeepLease(ctx, lease); errors.Is(err, kv.ErrLeaseNotFound) {
+		r.forget()
+		return 0
+	}
+	return renew // an unanswered renewal is repeated in time for the next
+}
+
+func (r *Registrar) register(ctx context.Context, leaving bool) error {
+	lease, _, err := r.Store.GrantLease(ctx, r.TTL)
+	if err != nil {
+		return err
+	}
+	if err := r.write(ctx, lease, leaving); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	r.lease = lease
+	r.mu.Unlock()
+	events.MemberRegistered.Log(r.Log, logrus.Fields{"member": r.Self.Name, "lease": lease})
+	return nil
+}
+
+func (r *Registrar) write(ctx context.Context, lease kv.LeaseID, leaving bool) error {
+	self := r.Self
+	self.Leaving = leaving
+	var raw bytes.Buffer
+	if err := gob.NewEncoder(&raw).Encode(self); err != nil {
+		return errors.Wrap(err, "cluster: register")
+	}
+	_, err := r.Store.Commit(ctx, kv.Transaction{Puts: []kv.Put{{Key: PrefixMembers + self.Name, Value: raw.Bytes(), Lease: lease}}})
+	return err
+}
+
+// Leave tells the others that this process stops: they give it nothing new.
+func (r *Registrar) Leave(ctx context.Context) error {
+	r.mu.Lock()
+	r.leaving = true
+	lease := r.lease
+	r.mu.Unlock()
+	if lease == 0 {
+		return nil
+	}
+	return r.write(ctx, lease, true)
+}
+
+// End gives the registration up.
+func (r *Registrar) End(ctx context.Context) error {
+	r.mu.Lock()
+	lease := r.lease
+	r.mu.Unlock()
+	if lease == 0 {
+		return nil
+	}
+	return r.Store.RevokeLease(ctx, lease)
+}
--- /dev/null
+++ b/internal/directory/directory.go
@@ -0,0 +1,180 @@
+// Package directory holds what one process knows of the deployment: the
+// declaration in force and the endpoints that are up, each service's in a shard
+// under its own lock.
+package directory
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"siskinloom.example/siskinloom/internal/deployment"
+	"siskinloom.example/siskinloom/internal/policy/endpoints"
+	"siskinloom.example/siskinloom/internal/policy/routes"
+)
+
+// Directory is safe for concurrent use.
+type Directory struct {
+	domain string
+	table  atomic.Pointer[routes.Table]
+	gone   func(address string) // an endpoint's address is no longer its own
+
+	mu       sync.RWMutex
+	services map[string]*shard
+	homes    map[string]string // service by endpoint ID
+}
+
+type shard struct {
+	mu  sync.Mutex
+	set *endpoints.Set
+}
+
+// New returns an empty directory of a process in a failure domain. gone is
+// called with the address of each endpoint that goes; it may be nil.
+func New(domain string, gone func(address string)) *Directory {
+	return &Directory{domain: domain, gone: gone, services: map[string]*shard{}, homes: map[string]string{}}
+}
+
+// Table returns the routes in force, or nil while none are known.
+func (d *Directory) Table() *routes.Table { return d.table.Load() }
+
+// Declare puts a declaration in force unless a newer one is, and tells whether
+// it did. Versions never go back.
+func (d *Directory) Declare(declaration *deployment.Declaration) bool {
+	fresh := routes.NewTable(declaration)
+	for {
+		old := d.table.Load()
+		if old != nil && old.Declaration.Version >= declaration.Version {
+			return false
+		}
+		if d.table.CompareAndSwap(old, fresh) {
+			return true
+		}
+	}
+}
+
+// Put takes in an endpoint as listed.
+func (d *Directory) Put(e deployment.Endpoint) {
+	d.mu.Lock()
+	home, found := d.homes[e.ID]
+	d.homes[e.ID] = e.Service
+	d.mu.Unlock()
+	if found && home != e.Service {
+		d.drop(home, e.ID)
+	}
+	s := d.shard(e.Service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.set.Put(e)
+}
+
+// Remove takes out an endpoint.
+func (d *Directory) Remove(id string) {
+	d.mu.Lock()
+	home, found := d.homes[id]
+	delete(d.homes, id)
+	d.mu.Unlock()
+	if found {
+		d.drop(home, id)
+	}
+}
+
+func (d *Directory) drop(service, id string) {
+	s := d.shard(service)
+	s.mu.Lock()
+	address := ""
+	if e := s.set.Get(id); e != nil {
+		address = e.Address
+	}
+	s.set.Remove(id)
+	s.mu.Unlock()
+	if address != "" && d.gone != nil {
+		d.gone(address)
+	}
+}
+
+func (d *Directory) shard(service string) *shard {
+	d.mu.RLock()
+	s := d.services[service]
+	d.mu.RUnlock()
+	if s != nil {
+		return s
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.services[service] == nil {
+		d.services[service] = &shard{set: endpoints.NewSet()}
+	}
+	return d.services[service]
+}
+
+// Pick is an endpoint that was chosen for a request. End must be called once.
+type Pick struct {
+	deployment.Endpoint
+	shard *shard
+	state *endpoints.State
+}
+
+// Pick chooses an endpoint of the service, or returns nil.
+func (d *Directory) Pick(service string, r endpoints.Request) *Pick {
+	r.Domain = d.domain
+	s := d.shard(service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state := s.set.Pick(r)
+	if state == nil {
+		return nil
+	}
+	return &Pick{Endpoint: state.Endpoint, shard: s, state: state}
+}
+
+// End tells how the request ended; see endpoints.State.End.
+func (p *Pick) End(now time.Time, outcome endpoints.Outcome, took time.Duration, work float64) {
+	p.shard.mu.Lock()
+	defer p.shard.mu.Unlock()
+	p.state.End(now, outcome, took, work)
+}
+
+// Slow tells that the request has waited without an answer.
+func (p *Pick) Slow(waited time.Duration, work float64) {
+	p.shard.mu.Lock()
+	defer p.shard.mu.Unlock()
+	p.state.Slow(waited, work)
+}
+
+// Seen is an endpoint with its requests in flight.
+type Seen struct {
+	deployment.Endpoint
+	InFlight int
+}
+
+// List returns the endpoints of a service.
+func (d *Directory) List(service string) []Seen {
+	s := d.shard(service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]Seen, 0, len(s.set.All()))
+	for _, e := range s.set.All() {
+		list = append(list, Seen{Endpoint: e.Endpoint, InFlight: e.InFlight})
+	}
+	return list
+}
+
+// Soonest returns how long until an endpoint of the service may be tried again;
+// 0 if one may now or none is known.
+func (d *Directory) Soonest(service string, now time.Time) time.Duration {
+	s := d.shard(service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	soonest := time.Duration(0)
+	for _, e := range s.set.All() {
+		until, aside := e.Aside(now)
+		if !aside {
+			return 0
+		}
+		if wait := until.Sub(now); soonest == 0 || wait < soonest {
+			soonest = wait
+		}
+	}
+	return soonest
+}
--- /dev/null
+++ b/internal/events/fleet.go
@@ -0,0 +1,59 @@
+package events
+
+import "github.com/sirupsen/logrus"
+
+// Events of requests on a platform's machines: 2000 to 2099.
+var (
+	RequestAnswered = define(2000, logrus.InfoLevel, "request answered")
+	RequestRefused  = define(2001, logrus.WarnLevel, "request refused without having run")
+	RequestUnknown  = define(2002, logrus.WarnLevel, "request ended without an answer; it may have run")
+	RequestLeft     = define(2003, logrus.InfoLevel, "caller left before its answer")
+	AttemptFailed   = define(2004, logrus.WarnLevel, "endpoint gave no answer to use")
+	AttemptHedged   = define(2005, logrus.InfoLevel, "endpoint is slow to answer; second one asked")
+	StreamResumed   = define(2006, logrus.WarnLevel, "stream broke off; resumed at another endpoint")
+	RequestBad      = define(2007, logrus.InfoLevel, "request is malformed")
+)
+
+// Events of batch jobs: 2100 to 2199.
+var (
+	JobAccepted    = define(2100, logrus.InfoLevel, "batch job accepted")
+	JobRefused     = define(2101, logrus.WarnLevel, "batch job refused")
+	JobOwned       = define(2102, logrus.InfoLevel, "batch job taken on as its owner")
+	JobDropped     = define(2103, logrus.InfoLevel, "batch job is no longer this process's")
+	JobFinished    = define(2104, logrus.InfoLevel, "batch job has all its results")
+	JobEnded       = define(2105, logrus.InfoLevel, "batch job ended by its submitter")
+	JobHandedOn    = define(2106, logrus.InfoLevel, "batch job handed on to another owner")
+	JobUnreadable  = define(2107, logrus.ErrorLevel, "batch job in the store cannot be read")
+	ItemRunEnded   = define(2110, logrus.InfoLevel, "run of an item ended")
+	ItemListed     = define(2111, logrus.InfoLevel, "item has its result")
+	ItemScoreLost  = define(2112, logrus.WarnLevel, "scoring call gave no score")
+	ResultsDelayed = define(2113, logrus.WarnLevel, "results could not be written")
+	ReadFailed     = define(2114, logrus.WarnLevel, "results of a batch job could not be read")
+)
+
+// Events of what a process believes of the fleet: 2200 to 2299.
+var (
+	StoreLost        = define(2200, logrus.WarnLevel, "platform's store does not answer")
+	StoreBack        = define(2201, logrus.InfoLevel, "platform's store answers again")
+	Declared         = define(2202, logrus.InfoLevel, "declaration in force")
+	DeclarationBad   = define(2203, logrus.ErrorLevel, "declaration cannot be read; the one before stays")
+	EndpointListed   = define(2204, logrus.InfoLevel, "endpoint listed")
+	EndpointLeaving  = define(2205, logrus.InfoLevel, "endpoint leaves; no new requests")
+	EndpointGone     = define(2206, logrus.InfoLevel, "endpoint no longer listed")
+	EndpointBad      = define(2207, logrus.WarnLevel, "entry names no endpoint to use")
+	MemberListed     = define(2208, logrus.InfoLevel, "process of the system listed")
+	MemberGone       = define(2209, logrus.WarnLevel, "process of the system no longer listed")
+	MemberRegistered = define(2210, logrus.InfoLevel, "this process registered itself")
+	MemberLapsed     = define(2211, logrus.WarnLevel, "this process's registration was taken away")
+	RetireAsked      = define(2212, logrus.InfoLevel, "this machine is to be emptied")
+	RetireDone       = define(2213, logrus.InfoLevel, "this machine is empty")
+)
+
+// Events of weight orders: 2300 to 2399.
+var (
+	LeaderTaken  = define(2300, logrus.InfoLevel, "weight orders are this process's")
+	LeaderLost   = define(2301, logrus.WarnLevel, "weight orders are no longer this process's")
+	VersionNamed = define(2302, logrus.InfoLevel, "weight version named")
+	OrderGiven   = define(2303, logrus.InfoLevel, "engine answered a weight order")
+	OrderFailed  = define(2304, logrus.WarnLevel, "engine did not take a weight order")
+)
--- /dev/null
+++ b/internal/gate/gate.go
@@ -0,0 +1,228 @@
+// Package gate serves callers' requests: it finds the route, chooses endpoints,
+// repeats what may be repeated and says truthfully of what failed whether it
+// may have run.
+package gate
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"siskinloom.example/siskinloom/internal/deployment"
+	"siskinloom.example/siskinloom/internal/directory"
+	"siskinloom.example/siskinloom/internal/dispatch"
+	"siskinloom.example/siskinloom/internal/events"
+	"siskinloom.example/siskinloom/internal/policy/endpoints"
+	"siskinloom.example/siskinloom/internal/policy/retry"
+	"siskinloom.example/siskinloom/internal/policy/routes"
+)
+
+const (
+	// defaultWait bounds a request whose caller and route name no time.
+	defaultWait = 30 * time.Second
+	// hedgeShare of the objective passes before a second endpoint is asked: later,
+	// the second answer would come too late; earlier, ordinary slow requests
+	// double their load.
+	hedgeShare = 0.6
+	// shortestHedge keeps hedges off routes with a tiny objective.
+	shortestHedge = 30 * time.Millisecond
+	// retryShare of a route's requests may be sent a second time. More would add
+	// load just when an overloaded service has none to spare.
+	retryShare = 0.2
+	// firstReturn and returnSpread give the time after which a refused caller
+	// should come back, spread so that those refused together do not return
+	// together. Another process, or an endpoint that was full, can serve it by then.
+	firstReturn  = 50 * time.Millisecond
+	returnSpread = 100 * time.Millisecond
+	// noDeclarationReturn is for a process that has not heard from the store yet.
+	noDeclarationReturn = 300 * time.Millisecond
+	// maxAnswerBytes bounds an answer that is held in memory.
+	maxAnswerBytes = 64 << 20
+)
+
+// Request is a caller's request.
+type Request struct {
+	ID      string
+	Method  string
+	Target  string // path and query
+	Path    string
+	Host    string
+	Header  http.Header // to be passed on
+	Body    []byte
+	Arrived time.Time
+	Wait    time.Duration // how long the caller waits; 0: not said
+	Model   string        // empty: no model is needed
+	Prefix  string        // first part of the prompt; empty: none
+	Resume  int64         // a stream goes on after this event
+}
+
+// End is how a request ended.
+type End int
+
+// The ends. Each tells whether the request may be repeated safely.
+const (
+	Answered  End = iota // with an endpoint's answer
+	NoRoute              // no route allows it
+	NotReady             // this process knows no declaration yet; it did not run
+	Refused              // it did not run and never will
+	Unknown              // it may have run
+	TimedOut             // its time is over; it may have run
+	Left                 // the caller left
+	BrokenOff            // the answer broke off after it began
+)
+
+// Outcome is what the caller is told.
+type Outcome struct {
+	End        End
+	RetryAfter time.Duration // with Refused and NotReady: when to come back
+	Status     int           // with Answered
+	Header     http.Header
+	Body       []byte
+}
+
+// Gate is safe for concurrent use.
+type Gate struct {
+	directory *directory.Directory
+	sender    dispatch.Sender
+	log       *logrus.Logger
+	latency   metrics.Timer
+	ends      [BrokenOff + 1]metrics.Counter
+	hedges    metrics.Counter
+	retries   metrics.Counter
+
+	mu     sync.Mutex
+	budget *retry.Budget
+}
+
+// New returns a gate.
+func New(d *directory.Directory, s dispatch.Sender, log *logrus.Logger, registry metrics.Registry) *Gate {
+	g := &Gate{
+		directory: d, sender: s, log: log, budget: retry.NewBudget(),
+		latency: metrics.GetOrRegisterTimer("gate.request", registry),
+		hedges:  metrics.GetOrRegisterCounter("gate.hedges", registry),
+		retries: metrics.GetOrRegisterCounter("gate.retries", registry),
+	}
+	for end, name := range endNames {
+		g.ends[end] = metrics.GetOrRegisterCounter("gate.end."+name, registry)
+	}
+	return g
+}
+
+var endNames = [...]string{"answered", "no-route", "not-ready", "refused", "unknown", "timed-out", "left", "broken-off"}
+
+// Route returns the route of a host and path, or nil; known is false while this
+// process knows no declaration.
+func (g *Gate) Route(host, path string) (route *deployment.Route, known bool) {
+	table := g.directory.Table()
+	if table == nil {
+		return nil, false
+	}
+	return table.Match(host, path), true
+}
+
+// Limits returns what callers may send, the zero value while it is unknown.
+func (g *Gate) Limits() deployment.Limits {
+	if table := g.directory.Table(); table != nil {
+		return table.Declaration.Limits
+	}
+	return deployment.Limits{}
+}
+
+// left returns how long an answer is still of use.
+func (r *Request) left(route *deployment.Route, now time.Time) time.Duration {
+	limit := route.Timeout
+	if limit <= 0 {
+		limit = defaultWait
+	}
+	if r.Wait > 0 {
+		limit = min(limit, r.Wait)
+	}
+	return limit - now.Sub(r.Arrived)
+}
+
+// Serve serves a request whose answer is passed on as a whole.
+func (g *Gate) Serve(ctx context.Context, route *deployment.Route, r *Request) Outcome {
+	left := r.left(route, time.Now())
+	limited, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
+	c := &course{gate: g, route: route, request: r, service: routes.Service(route, r.ID), ended: make(chan attempt, route.MaxAttempts)}
+	g.earn(c.service)
+	outcome := c.run(limited)
+	if outcome.End == TimedOut && ctx.Err() != nil {
+		outcome = Outcome{End: Left}
+	}
+	g.note(route, r, c, outcome)
+	return outcome
+}
+
+func (g *Gate) earn(service string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.budget.SetShare(service, retryShare)
+	g.budget.Earn(service)
+}
+
+func (g *Gate) spend(service string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.budget.Spend(service)
+}
+
+func (g *Gate) note(route *deployment.Route, r *Request, c *course, o Outcome) {
+	g.ends[o.End].Inc(1)
+	if o.End == Answered {
+		g.latency.UpdateSince(r.Arrived)
+	}
+	event := events.RequestAnswered
+	switch o.End {
+	case Answered:
+	case Left:
+		event = events.RequestLeft
+	case NoRoute, NotReady, Refused:
+		event = events.RequestRefused
+	default:
+		event = events.RequestUnknown
+	}
+	event.Log(g.log, logrus.Fields{
+		"request": r.ID, "route": route.Name, "service": c.service, "end": endNames[o.End], "status": o.Status,
+		"tried": c.tried, "ms": time.Since(r.Arrived).Milliseconds(), "retry_after_ms": o.RetryAfter.Milliseconds(),
+	})
+}
+
+// refusal returns the outcome of a request that certainly did not run.
+func (g *Gate) refusal(service string) Outcome {
+	wait := firstReturn + rand.N(returnSpread)
+	if soonest := g.directory.Soonest(service, time.Now()); soonest > wait {
+		wait = soonest
+	}
+	return Outcome{End: Refused, RetryAfter: wait}
+}
+
+// Starting returns the outcome while this process knows no declaration.
+func Starting() Outcome { return Outcome{End: NotReady, RetryAfter: noDeclarationReturn} }
+
+// pickFor chooses an endpoint for the next attempt.
+func (g *Gate) pickFor(service string, r *Request, tried []string) *directory.Pick {
+	return g.directory.Pick(service, endpoints.Request{Now: time.Now(), Tried: tried, Model: r.Model})
+}
+
+func (r *Request) toEndpoint(left time.Duration) *dispatch.Request {
+	return &dispatch.Request{
+		ID: r.ID, Method: r.Method, Target: r.Target, Host: r.Host, Header: r.Header, Body: r.Body,
+		Left: left, Resume: r.Resume, Urgency: -1,
+	}
+}
+
+func readWhole(a *dispatch.Answer) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(a.Body, maxAnswerBytes))
+	if err != nil {
+		return nil, err
+	}
+	return body, nil
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,259 @@
+// Package node runs one process of the system on a platform: it puts the parts
+// together, follows what the platform's store says, serves callers where the
+// machine has an address for them, and stops gracefully.
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/rpc"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"siskinloom.example/siskinloom/internal/batchrun"
+	"siskinloom.example/siskinloom/internal/cluster"
+	"siskinloom.example/siskinloom/internal/deployment"
+	"siskinloom.example/siskinloom/internal/directory"
+	"siskinloom.example/siskinloom/internal/dispatch"
+	"siskinloom.example/siskinloom/internal/events"
+	"siskinloom.example/siskinloom/internal/gate"
+	"siskinloom.example/siskinloom/internal/kv"
+	"siskinloom.example/siskinloom/internal/modelrun"
+	"siskinloom.example/siskinloom/internal/netdial"
+	"siskinloom.example/siskinloom/internal/observe"
+	"siskinloom.example/siskinloom/internal/rpcpool"
+)
+
+// Settings are one process's settings, from the platform's boot file.
+type Settings struct {
+	ID            string
+	IP            string
+	FailureDomain string
+	Worker        bool   // takes on batch jobs and weight orders before others do
+	Callers       string // address for callers; empty: none
+	Ready         string // address of the readiness probe; empty: none
+	Metrics       string // address of metrics; empty: none
+	InnerPort     int    // port for the system's own processes
+	StoreAddress  string
+	ValueBytes    int // largest value the store holds
+	MemoryBytes   int64
+	StopTimeout   time.Duration // from SIGTERM to the end
+	LeaseTTL      time.Duration
+	KeepResults   time.Duration // how long results stay readable after submission
+}
+
+// Parts are what an adapter needs to serve callers.
+type Parts struct {
+	Gate     *gate.Gate
+	Desk     *batchrun.Desk
+	Stopping func() bool
+}
+
+// Adapter connects the process to one kind of platform.
+type Adapter struct {
+	Store     kv.Shared
+	Sender    dispatch.Sender
+	Commander modelrun.Commander
+	Ingress   func(Parts) http.Handler
+	// Forget closes kept connections to an address whose endpoint is gone.
+	Forget func(address string)
+	Keys   Keys
+}
+
+// Keys says where the store holds what others write, and how to read it.
+type Keys struct {
+	Operator     string // prefix of all that the operator and the trainers write
+	Declaration  string
+	Versions     string // prefix of named weight versions
+	Retire       string // prefix of requests to empty a machine
+	Retired      string // prefix of the answers to them
+	Endpoints    string // prefix of the list of endpoints
+	Leader       string // who gives weight orders
+	Declare      func([]byte) (*deployment.Declaration, error)
+	Endpoint     func(key string, value []byte) (deployment.Endpoint, error)
+	NamedVersion func([]byte) (model string, version int64, err error)
+	RetireState  func(done bool) []byte
+}
+
+// Node is one running process.
+type Node struct {
+	settings Settings
+	adapter  Adapter
+	log      *logrus.Logger
+	registry metrics.Registry
+
+	directory *directory.Directory
+	members   *cluster.Members
+	registrar *cluster.Registrar
+	owner     *batchrun.Owner
+	desk      *batchrun.Desk
+	mover     *batchrun.Mover
+	gate      *gate.Gate
+	leader    *cluster.Leader
+	models    *modelrun.Runner
+	trouble   storeTrouble
+
+	lingering lingering
+	listed    atomic.Bool // the endpoints are known
+	stopping  atomic.Bool
+}
+
+// New puts a process together.
+func New(s Settings, a Adapter, log *logrus.Logger, registry metrics.Registry) *Node {
+	n := &Node{settings: s, adapter: a, log: log, registry: registry, members: cluster.NewMembers()}
+	n.directory = directory.New(s.FailureDomain, a.Forget)
+	inner := net.JoinHostPort(s.IP, strconv.Itoa(s.InnerPort))
+	n.registrar = &cluster.Registrar{
+		Store: a.Store, TTL: s.LeaseTTL, Members: n.members, Log: log, Failed: n.storeFailed, Recovered: n.storeBack,
+		Self: cluster.Member{Name: s.ID, Address: inner, Domain: s.FailureDomain, Worker: s.Worker, Boot: time.Now().UnixNano()},
+	}
+	n.owner = &batchrun.Owner{Name: s.ID, Store: a.Store, Directory: n.directory, Sender: a.Sender, Log: log, Keep: s.KeepResults, Registry: registry, Lost: n.storeFailed, Back: n.storeBack}
+	n.owner.Init()
+	n.desk = &batchrun.Desk{Store: a.Store, Members: n.members, Peers: rpcpool.New(netdial.Dial), Local: n.owner, Log: log, ValueBytes: s.ValueBytes}
+	n.mover = &batchrun.Mover{Self: s.ID, Store: a.Store, Members: n.members, Log: log, Unsettled: n.trouble.recent}
+	n.gate = gate.New(n.directory, a.Sender, log, registry)
+	if s.Worker {
+		n.leader = &cluster.Leader{Store: a.Store, Key: a.Keys.Leader, Self: s.ID, TTL: s.LeaseTTL, Log: n.leads, May: func() bool { return !n.stopping.Load() }}
+		n.models = &modelrun.Runner{Self: s.ID, Directory: n.directory, Leader: n.leader, Commander: a.Commander, Log: log, Registry: registry}
+	}
+	return n
+}
+
+func (n *Node) leads(taken bool, term int64) {
+	event := events.LeaderLost
+	if taken {
+		event = events.LeaderTaken
+	}
+	event.Log(n.log, logrus.Fields{"term": term})
+}
+
+// Ready tells whether the process can serve callers.
+func (n *Node) Ready() bool {
+	return !n.stopping.Load() && n.listed.Load() && n.directory.Table() != nil
+}
+
+// Run serves until ctx ends, then stops gracefully.
+func (n *Node) Run(ctx context.Context) error {
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	group, work := errgroup.WithContext(work)
+	servers, err := n.listen(work, group)
+	if err != nil {
+		return err
+	}
+	n.follow(work, group)
+	group.Go(func() error { return n.registrar.Run(work) })
+	group.Go(func() error { return n.owner.Run(work) })
+	if n.leader != nil {
+		group.Go(func() error { return n.leader.Run(work) })
+		group.Go(func() error { return n.models.Run(work) })
+	}
+	select {
+	case <-ctx.Done():
+		n.stop(servers)
+	case <-work.Done():
+	}
+	stop()
+	return group.Wait()
+}
+
+// servers are what has to be closed at the end.
+type servers struct {
+	callers *http.Server
+	ready   *http.Server
+	inner   net.Listener
+}
+
+const (
+	// headerTimeout bounds how long a caller may take for its headers where the
+	// operator names nothing; a few seconds above what operators name.
+	headerTimeout = 10 * time.Second
+	// idleTimeout is how long a caller's connection is kept without a request. It
+	// lies above what operators name, as a request must not meet a close.
+	idleTimeout = 2 * time.Minute
+)
+
+func (n *Node) listen(ctx context.Context, group *errgroup.Group) (*servers, error) {
+	s := &servers{}
+	config := netdial.ListenConfig()
+	inner, err := config.Listen(ctx, "tcp", net.JoinHostPort(n.settings.IP, strconv.Itoa(n.settings.InnerPort)))
+	if err != nil {
+		return nil, errors.Wrap(err, "node: inner address")
+	}
+	s.inner = inner
+	calls := rpc.NewServer()
+	if err := n.owner.Register(calls); err != nil {
+		return nil, errors.Wrap(err, "node: inner calls")
+	}
+	group.Go(func() error { return serveCalls(ctx, calls, inner) })
+	if n.settings.Callers != "" {
+		handler := n.adapter.Ingress(Parts{Gate: n.gate, Desk: n.desk, Stopping: n.stopping.Load})
+		if s.callers, err = n.serveHTTP(group, n.settings.Callers, handler); err != nil {
+			return nil, err
+		}
+	}
+	if n.settings.Ready != "" {
+		if s.ready, err = n.serveHTTP(group, n.settings.Ready, http.HandlerFunc(n.answerReady)); err != nil {
+			return nil, err
+		}
+	}
+	return s, n.serveMetrics(ctx, group)
+}
+
+func (n *Node) serveMetrics(ctx context.Context, group *errgroup.Group) error {
+	if n.settings.Metrics == "" {
+		return nil
+	}
+	listener, err := net.Listen("tcp", n.settings.Metrics)
+	if err != nil {
+		return errors.Wrap(err, "node: metrics address")
+	}
+	server := observe.Server{Registry: n.registry, Ready: n.Ready}
+	group.Go(func() error { return server.Serve(ctx, listener) })
+	return nil
+}
+
+func (n *Node) serveHTTP(group *errgroup.Group, address string, handler http.Handler) (*http.Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "node: address")
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: silent()}
+	group.Go(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return errors.Wrap(err, "node: serve")
+		}
+		return nil
+	})
+	return server, nil
+}
+
+func (n *Node) answerReady(w http.ResponseWriter, _ *http.Request) {
+	if n.Ready() {
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func serveCalls(ctx context.Context, calls *rpc.Server, listener net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer stop()
+	for {
+		conn, err := listener.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "node: inner address")
+		}
+		go calls.ServeConn(conn)
+	}
+}
--- /dev/null
+++ b/internal/node/views.go
@@ -0,0 +1,187 @@
+package node
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"siskinloom.example/siskinloom/internal/cluster"
+	"siskinloom.example/siskinloom/internal/events"
+	"siskinloom.example/siskinloom/internal/kv"
+)
+
+const (
+	// unsettledFor is how long after the store answered again its lists may lack
+	// what lapsed meanwhile: endpoints and processes that live are back within two
+	// seconds.
+	unsettledFor = 3 * time.Second
+	// lingerFor is how long an endpoint that vanished in such a time stays in use.
+	lingerFor = 2 * time.Second
+)
+
+// storeTrouble remembers when the store last failed this process.
+type storeTrouble struct {
+	last atomic.Int64 // Unix nanoseconds; 0: never
+	down atomic.Bool
+}
+
+func (t *storeTrouble) note() { t.last.Store(time.Now().UnixNano()) }
+
+func (t *storeTrouble) recent() bool {
+	last := t.last.Load()
+	return last != 0 && time.Since(time.Unix(0, last)) < unsettledFor
+}
+
+func (n *Node) storeFailed(err error) {
+	n.trouble.note()
+	if n.trouble.down.CompareAndSwap(false, true) {
+		events.StoreLost.Log(n.log, logrus.Fields{"error": err.Error()})
+	}
+}
+
+func (n *Node) storeBack() {
+	n.trouble.note()
+	if n.trouble.down.CompareAndSwap(true, false) {
+		events.StoreBack.Log(n.log, logrus.Fields{})
+	}
+}
+
+// follow starts the followers of what others write.
+func (n *Node) follow(ctx context.Context, group *errgroup.Group) {
+	keys := n.adapter.Keys
+	operator := keys.Declaration
+	if n.settings.Worker {
+		operator = keys.Operator
+	}
+	for _, f := range []*cluster.Follower{
+		{Prefix: operator, Changed: func(r kv.Record) { n.operatorWrote(ctx, group, r) }, Deleted: func(string, int64) {}},
+		{Prefix: keys.Endpoints, Changed: n.endpointListed, Deleted: n.endpointGone, Synced: func() { n.listed.Store(true) }},
+	} {
+		f.Store, f.Failed, f.Recovered = n.adapter.Store, n.storeFailed, n.storeBack
+		group.Go(func() error { return f.Run(ctx) })
+	}
+	n.registrar.Gone = func(name string) {
+		if n.settings.Worker {
+			group.Go(func() error { n.mover.MemberGone(ctx, name); return nil })
+		}
+	}
+}
+
+func (n *Node) operatorWrote(ctx context.Context, group *errgroup.Group, r kv.Record) {
+	keys := n.adapter.Keys
+	switch {
+	case r.Key == keys.Declaration:
+		n.declared(r)
+	case strings.HasPrefix(r.Key, keys.Versions):
+		n.versionNamed(r)
+	case r.Key == keys.Retire+n.settings.ID:
+		group.Go(func() error { n.retire(ctx); return nil })
+	}
+}
+
+func (n *Node) declared(r kv.Record) {
+	declaration, err := n.adapter.Keys.Declare(r.Value)
+	if err != nil {
+		events.DeclarationBad.Log(n.log, logrus.Fields{"revision": r.Revision, "error": err.Error()})
+		return
+	}
+	if n.directory.Declare(declaration) {
+		events.Declared.Log(n.log, logrus.Fields{"version": declaration.Version, "revision": r.Revision, "routes": len(declaration.Routes)})
+	}
+}
+
+func (n *Node) versionNamed(r kv.Record) {
+	model, version, err := n.adapter.Keys.NamedVersion(r.Value)
+	if err != nil {
+		events.DeclarationBad.Log(n.log, logrus.Fields{"key": r.Key, "revision": r.Revision, "error": err.Error()})
+		return
+	}
+	events.VersionNamed.Log(n.log, logrus.Fields{"model": model, "version": version, "revision": r.Revision})
+	n.models.Name(model, version)
+}
+
+func (n *Node) endpointListed(r kv.Record) {
+	endpoint, err := n.adapter.Keys.Endpoint(r.Key, r.Value)
+	if err != nil {
+		events.EndpointBad.Log(n.log, logrus.Fields{"key": r.Key, "revision": r.Revision, "error": err.Error()})
+		n.directory.Remove(strings.TrimPrefix(r.Key, n.adapter.Keys.Endpoints))
+		return
+	}
+	n.lingering.end(endpoint.ID)
+	n.directory.Put(endpoint)
+	event := events.EndpointListed
+	if endpoint.Leaving {
+		event = events.EndpointLeaving
+	}
+	event.Log(n.log, logrus.Fields{"endpoint": endpoint.ID, "service": endpoint.Service, "address": endpoint.Address, "versions": endpoint.Versions, "revision": r.Revision})
+}
+
+func (n *Node) endpointGone(key string, revision int64) {
+	id := strings.TrimPrefix(key, n.adapter.Keys.Endpoints)
+	unsettled := n.trouble.recent()
+	events.EndpointGone.Log(n.log, logrus.Fields{"endpoint": id, "revision": revision, "lingers": unsettled})
+	if !unsettled {
+		n.directory.Remove(id)
+		return
+	}
+	n.lingering.begin(id, lingerFor, func() { n.directory.Remove(id) })
+}
+
+// lingering holds endpoints that vanished from the list while the store was
+// away: entries lapse then though their endpoints live, and without this every
+// request of a service would be refused for some seconds after an outage.
+type lingering struct {
+	mu     sync.Mutex
+	timers map[string]*time.Timer
+}
+
+func (l *lingering) begin(id string, d time.Duration, remove func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.timers == nil {
+		l.timers = map[string]*time.Timer{}
+	}
+	if l.timers[id] == nil {
+		l.timers[id] = time.AfterFunc(d, func() {
+			l.end(id)
+			remove()
+		})
+	}
+}
+
+func (l *lingering) end(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if timer := l.timers[id]; timer != nil {
+		timer.Stop()
+		delete(l.timers, id)
+	}
+}
+
+// retire empties this machine: nothing of the system's lies on its disk, so it
+// is empty once its jobs and duties are with others.
+func (n *Node) retire(ctx context.Context) {
+	events.RetireAsked.Log(n.log, logrus.Fields{"id": n.settings.ID})
+	n.writeRetired(ctx, false)
+	n.stopping.Store(true)
+	n.handOn(ctx)
+	n.writeRetired(ctx, true)
+	events.RetireDone.Log(n.log, logrus.Fields{"id": n.settings.ID})
+}
+
+func (n *Node) writeRetired(ctx context.Context, done bool) {
+	const retry = 300 * time.Millisecond // the store answers in milliseconds when it is up
+	keys := n.adapter.Keys
+	put := kv.Put{Key: keys.Retired + n.settings.ID, Value: keys.RetireState(done)}
+	for ctx.Err() == nil {
+		if _, err := n.adapter.Store.Commit(ctx, kv.Transaction{Puts: []kv.Put{put}}); err == nil {
+			return
+		}
+		time.Sleep(retry)
+	}
+}
--- /dev/null
+++ b/internal/policy/endpoints/endpoints.go
@@ -0,0 +1,274 @@
+// Package endpoints decides which endpoint of a service gets a request. It
+// knows each endpoint from the platform's list and from what this process's own
+// requests showed: filters take out those that may not have the request, a
+// score compares the rest. It does no input or output and keeps no time.
+package endpoints
+
+import (
+	"sort"
+	"time"
+
+	"siskinloom.example/siskinloom/internal/deployment"
+)
+
+const (
+	// firstAside is how long an endpoint gets no requests after failures in a row.
+	// A crashed endpoint is back after some seconds, so a first short pause costs
+	// little if the failure was a single one.
+	firstAside = 500 * time.Millisecond
+	// mostAside bounds the pause, so that one that came back is found in time.
+	mostAside = 4 * time.Second
+	// failuresInRow put an endpoint aside even if it answered something: single
+	// lost or broken answers are no sign of a bad endpoint.
+	failuresInRow = 3
+	// latencyWeight is the share of a new observation in the running mean of an
+	// endpoint's time per unit of work: a fourfold slowdown shows after three.
+	latencyWeight = 0.3
+	// minSlowdown: below it, differences in speed are noise of single requests.
+	minSlowdown = 1.3
+	// strangerPenalty is added to the score of an endpoint in another failure
+	// domain, in slots: it decides between equals and yields to any real load.
+	strangerPenalty = 0.02
+	// affinityBonus is taken off for an endpoint that holds the request's prompt
+	// prefix, in shares of the slots; a queue of half a batch outweighs it.
+	affinityBonus = 0.5
+	// fullPause keeps an endpoint that refused as full from being asked at once.
+	fullPause = 30 * time.Millisecond
+)
+
+// State is one endpoint and what this process saw of it.
+type State struct {
+	deployment.Endpoint
+	InFlight int // requests of this process without an end
+
+	failures int
+	aside    time.Duration // last pause
+	until    time.Time     // no requests before
+	probing  bool          // one request tries it after a pause
+	cost     float64       // running mean of seconds per unit of work; 0: unknown
+	Gone     bool          // no longer listed; requests in flight may end
+}
+
+// Set is the endpoints of one service. It is not safe for concurrent use.
+type Set struct {
+	byID map[string]*State
+	list []*State // sorted by ID, without those that are gone
+}
+
+// NewSet returns an empty set.
+func NewSet() *Set { return &Set{byID: map[string]*State{}} }
+
+// Put takes in what the platform lists of an endpoint.
+func (s *Set) Put(e deployment.Endpoint) {
+	if known, found := s.byID[e.ID]; found && known.SameStart(&e) {
+		known.Endpoint = e
+		return
+	}
+	s.Remove(e.ID)
+	s.byID[e.ID] = &State{Endpoint: e}
+	s.sort()
+}
+
+// Remove takes out an endpoint that is no longer listed.
+func (s *Set) Remove(id string) {
+	known, found := s.byID[id]
+	if !found {
+		return
+	}
+	known.Gone = true
+	delete(s.byID, id)
+	s.sort()
+}
+
+// Get returns an endpoint, or nil.
+func (s *Set) Get(id string) *State { return s.byID[id] }
+
+// All returns the endpoints sorted by ID. The slice must not be changed.
+func (s *Set) All() []*State { return s.list }
+
+func (s *Set) sort() {
+	list := make([]*State, 0, len(s.byID))
+	for _, e := range s.byID {
+		list = append(list, e)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	s.list = list
+}
+
+// Request is what a choice depends on.
+type Request struct {
+	Now        time.Time
+	Domain     string   // of this process
+	Tried      []string // IDs that the request was sent to
+	Model      string   // empty: no model is needed
+	MinVersion int64    // oldest weight version that may serve it
+	Version    int64    // the one version that may serve it; 0: any from MinVersion
+	Holder     string   // ID of an endpoint that holds the prompt's prefix
+	Within     bool     // only an endpoint with a free slot, as far as is known
+}
+
+// Pick returns the endpoint with the lowest score and counts the request as in
+// flight there; nil if none may have it. End must be called for each pick.
+// Endpoints that are put aside are used only if no other is left: the fault may
+// be on this side.
+func (s *Set) Pick(r Request) *State {
+	best, reserve := (*State)(nil), (*State)(nil)
+	slow := s.typicalCost()
+	for _, e := range s.list {
+		if !e.may(&r) {
+			continue
+		}
+		switch {
+		case !e.usable(r.Now):
+			if reserve == nil || e.until.Before(reserve.until) {
+				reserve = e
+			}
+		case best == nil || e.score(&r, slow) < best.score(&r, slow):
+			best = e
+		}
+	}
+	if best == nil && !r.Within {
+		best = reserve
+	}
+	if best == nil {
+		return nil
+	}
+	if best.failures > 0 {
+		best.probing = true
+	}
+	best.InFlight++
+	return best
+}
+
+func (e *State) may(r *Request) bool {
+	if e.Leaving || contains(r.Tried, e.ID) {
+		return false
+	}
+	if r.Within && e.InFlight >= e.slots() {
+		return false
+	}
+	if r.Model == "" {
+		return true
+	}
+	version, serves := e.Versions[r.Model]
+	if !serves || version < r.MinVersion {
+		return false
+	}
+	return r.Version == 0 || version == r.Version
+}
+
+func (e *State) usable(now time.Time) bool {
+	return !now.Before(e.until) && !e.probing
+}
+
+func (e *State) slots() int { return max(1, e.Slots) }
+
+// score estimates how long a request would take there, in units of a request at
+// an idle endpoint of usual speed.
+func (e *State) score(r *Request, typical float64) float64 {
+	load := float64(e.InFlight+1) / float64(e.slots())
+	if typical > 0 && e.cost > minSlowdown*typical {
+		load *= e.cost / typical
+	}
+	if e.Domain != r.Domain {
+		load += strangerPenalty
+	}
+	if r.Holder == e.ID {
+		load -= affinityBonus
+	}
+	return load
+}
+
+// typicalCost is the median of the endpoints' costs, 0 if it is unknown.
+func (s *Set) typicalCost() float64 {
+	costs := make([]float64, 0, len(s.list))
+	for _, e := range s.list {
+		if e.cost > 0 {
+			costs = append(costs, e.cost)
+		}
+	}
+	if len(costs) == 0 {
+		return 0
+	}
+	sort.Float64s(costs)
+	return costs[(len(costs)-1)/2]
+}
+
+// Outcome is how a request to an endpoint ended.
+type Outcome int
+
+// The outcomes.
+const (
+	Answered  Outcome = iota // it answered, whatever the status
+	Refused                  // it said that it is full; the request did not run
+	Replaced                 // another instance has the address
+	Broke                    // the answer broke off or made no sense
+	Unreached                // no connection, or silence
+	Dropped                  // this side ended the request
+)
+
+// End takes the end of a picked request into account. took and work give its
+// duration and size in units of work; 0 work says nothing of the speed.
+func (e *State) End(now time.Time, outcome Outcome, took time.Duration, work float64) {
+	e.InFlight--
+	e.probing = false
+	switch outcome {
+	case Answered:
+		e.failures, e.aside = 0, 0
+		e.observe(took, work)
+	case Refused:
+		e.until = later(e.until, now.Add(fullPause))
+	case Replaced, Unreached:
+		e.putAside(now)
+	case Broke:
+		e.failures++
+		if e.failures >= failuresInRow {
+			e.putAside(now)
+		}
+	case Dropped:
+	}
+}
+
+// Slow notes a request that is still without an answer after waited: an
+// endpoint that hangs would otherwise keep its good mean.
+func (e *State) Slow(waited time.Duration, work float64) { e.observe(waited, work) }
+
+// Aside tells whether the endpoint is put aside at a time, and until when.
+func (e *State) Aside(now time.Time) (time.Time, bool) { return e.until, now.Before(e.until) }
+
+func (e *State) observe(took time.Duration, work float64) {
+	if work <= 0 {
+		return
+	}
+	cost := took.Seconds() / work
+	if e.cost == 0 {
+		e.cost = cost
+		return
+	}
+	e.cost += (cost - e.cost) * latencyWeight
+}
+
+func (e *State) putAside(now time.Time) {
+	e.failures++
+	if now.Before(e.until) {
+		return // further requests that were under way tell nothing new
+	}
+	e.aside = min(max(2*e.aside, firstAside), mostAside)
+	e.until = now.Add(e.aside)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func contains(list []string, id string) bool {
+	for _, one := range list {
+		if one == id {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/upstream/call.go
@@ -0,0 +1,228 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	readBuffer = 4096
+	// strayAnswers bounds how many answers to other requests are read past on one
+	// connection before it is given up.
+	strayAnswers = 2
+	maxStrayBody = 1 << 20
+)
+
+// errStray is returned when the connection holds only answers to others.
+var errStray = errors.New("upstream: answers belong to other requests")
+
+// Call is one request.
+type Call struct {
+	Method string
+	Target string // path and query, as it goes on the request line
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Mine tells whether an answer belongs to this request; nil takes the first.
+	// An endpoint may send a second answer to an earlier request late.
+	Mine func(http.Header) bool
+}
+
+// SendError is a call without an answer.
+type SendError struct {
+	Sent bool // the endpoint may have got the request, and may have run it
+	Err  error
+}
+
+// Error implements error.
+func (e *SendError) Error() string { return "upstream: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *SendError) Unwrap() error { return e.Err }
+
+// Answer is the beginning of an answer. Body must be read to its end or closed;
+// a body that breaks off ends with an error other than io.EOF.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   io.ReadCloser
+	Length int64 // of the body; -1 if the endpoint did not say
+}
+
+type conn struct {
+	raw         net.Conn
+	address     string
+	in          *bufio.Reader
+	usableUntil time.Time
+	once        sync.Once
+}
+
+func newConn(raw net.Conn, address string) *conn {
+	return &conn{raw: raw, address: address, in: bufio.NewReaderSize(raw, readBuffer)}
+}
+
+// close resets the connection, so that the endpoint notices at once and stops
+// the run even while it is writing.
+func (c *conn) close() {
+	c.once.Do(func() { _ = c.raw.Close() })
+}
+
+// Do sends the call. When ctx ends the connection is closed, also while the
+// body is being read. The error is a *SendError.
+func (p *Pool) Do(ctx context.Context, address string, call *Call) (*Answer, error) {
+	head, err := call.head()
+	if err != nil {
+		return nil, &SendError{Err: err}
+	}
+	c, err := p.get(ctx, address)
+	if err != nil {
+		return nil, &SendError{Err: err}
+	}
+	if ctx.Err() != nil {
+		p.put(c)
+		return nil, &SendError{Err: ctx.Err()}
+	}
+	stop := context.AfterFunc(ctx, c.close)
+	if err := c.write(head, call.Body); err != nil {
+		stop()
+		c.close()
+		return nil, &SendError{Sent: true, Err: err}
+	}
+	response, err := c.read(call)
+	if err != nil {
+		stop()
+		c.close()
+		return nil, &SendError{Sent: true, Err: err}
+	}
+	body := &body{pool: p, conn: c, stop: stop, response: response}
+	return &Answer{Status: response.StatusCode, Header: response.Header, Body: body, Length: response.ContentLength}, nil
+}
+
+// head renders the request line and headers.
+func (call *Call) head() ([]byte, error) {
+	if strings.ContainsAny(call.Target, " \r\n") || strings.ContainsAny(call.Host, " \r\n") {
+		return nil, errors.New("malformed target or host")
+	}
+	var b bytes.Buffer
+	b.Grow(1024)
+	b.WriteString(call.Method)
+	b.WriteByte(' ')
+	b.WriteString(call.Target)
+	b.WriteString(" HTTP/1.1\r\nHost: ")
+	b.WriteString(call.Host)
+	b.WriteString("\r\n")
+	if len(call.Body) > 0 || call.Method != http.MethodGet && call.Method != http.MethodHead {
+		b.WriteString("Content-Length: ")
+		b.WriteString(strconv.Itoa(len(call.Body)))
+		b.WriteString("\r\n")
+	}
+	if err := call.Header.Write(&b); err != nil {
+		return nil, err
+	}
+	b.WriteString("\r\n")
+	return b.Bytes(), nil
+}
+
+func (c *conn) write(head, body []byte) error {
+	buffers := net.Buffers{head}
+	if len(body) > 0 {
+		buffers = append(buffers, body)
+	}
+	_, err := buffers.WriteTo(c.raw)
+	return err
+}
+
+// read returns the first answer that belongs to the call.
+func (c *conn) read(call *Call) (*http.Response, error) {
+	request := &http.Request{Method: call.Method, URL: &url.URL{}}
+	for range strayAnswers + 1 {
+		response, err := http.ReadResponse(c.in, request)
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode < http.StatusOK {
+			continue // 1xx: the final answer follows
+		}
+		if call.Mine == nil || call.Mine(response.Header) {
+			return response, nil
+		}
+		if _, err := io.CopyN(io.Discard, response.Body, maxStrayBody); !errors.Is(err, io.EOF) {
+			return nil, errStray
+		}
+	}
+	return nil, errStray
+}
+
+// body gives the connection back once it was read to its end.
+type body struct {
+	pool     *Pool
+	conn     *conn
+	stop     func() bool
+	response *http.Response
+	done     bool
+	end      error
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	if b.done {
+		return 0, b.end
+	}
+	n, err := b.response.Body.Read(p)
+	if err != nil {
+		b.finish(err)
+	}
+	return n, err
+}
+
+func (b *body) finish(err error) {
+	b.done = true
+	b.end = err
+	live := b.stop()
+	if !errors.Is(err, io.EOF) || !live || !b.reusable() {
+		b.conn.close()
+		return
+	}
+	b.conn.usableUntil = time.Now().Add(keepFor(b.response.Header.Get("Keep-Alive")))
+	b.pool.put(b.conn)
+}
+
+// reusable tells whether nothing follows the answer on its connection.
+func (b *body) reusable() bool {
+	return !b.response.Close && b.conn.in.Buffered() == 0
+}
+
+// Close implements io.Closer. A body that was not read to its end takes its
+// connection with it, which stops the endpoint's work.
+func (b *body) Close() error {
+	if !b.done {
+		b.done = true
+		b.end = net.ErrClosed
+		b.stop()
+		b.conn.close()
+	}
+	return nil
+}
+
+// keepFor reads the timeout of a Keep-Alive header, in whole seconds.
+func keepFor(header string) time.Duration {
+	for _, part := range strings.Split(header, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		seconds, err := strconv.Atoi(value)
+		if strings.EqualFold(name, "timeout") && err == nil {
+			return max(0, min(time.Duration(seconds)*time.Second-idleMargin, idleLimit))
+		}
+	}
+	return idleLimit
+}
