--- a/internal/netdial/netdial.go
+++ b/internal/netdial/netdial.go
@@ -14,22 +14,32 @@
 	// A connection may go silent for good while new ones work, because something
 	// between the ends lost track of it. Keep-alive probes find an idle one dead
 	// after probeIdle + probes*probeInterval, and userTimeout one with bytes under
-	// way; both together stay under the 3 s after which clients of a recovered
-	// network expect service again.
+	// way. The kernel counts probes in whole seconds.
 	probeIdle     = time.Second
-	probeInterval = 500 * time.Millisecond
-	probes        = 3
+	probeInterval = time.Second
 	userTimeout   = 2500 * time.Millisecond
+	// patientProbes are for connections with work on them: one lost packet must
+	// not end a run.
+	patientProbes = 2
+	// quickProbes are for connections on which news are awaited: it is found dead
+	// after two seconds, so that news are at most three late. Ending one for a
+	// single lost probe costs no more than a new connection.
+	quickProbes = 1
 )
 
 // Dialer returns a dialer that gives up after limit.
-func Dialer(limit time.Duration) *net.Dialer {
-	return &net.Dialer{Timeout: limit, KeepAliveConfig: keepAlive(), Control: setUserTimeout}
+func Dialer(limit time.Duration) *net.Dialer { return dialer(limit, patientProbes) }
+
+// QuickDialer returns a dialer for connections on which news are awaited.
+func QuickDialer(limit time.Duration) *net.Dialer { return dialer(limit, quickProbes) }
+
+func dialer(limit time.Duration, probes int) *net.Dialer {
+	return &net.Dialer{Timeout: limit, KeepAliveConfig: keepAlive(probes), Control: setUserTimeout}
 }
 
 // ListenConfig returns the options for accepted connections.
 func ListenConfig() net.ListenConfig {
-	return net.ListenConfig{KeepAliveConfig: keepAlive(), Control: setUserTimeout}
+	return net.ListenConfig{KeepAliveConfig: keepAlive(patientProbes), Control: setUserTimeout}
 }
 
 // Dial opens a connection of the inner protocol.
@@ -38,7 +48,7 @@
 	return Dialer(limit).DialContext(ctx, "tcp", address)
 }
 
-func keepAlive() net.KeepAliveConfig {
+func keepAlive(probes int) net.KeepAliveConfig {
 	return net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probes}
 }
 
