Ask each watch anew every two seconds

Cause: after the store drops history, a waiting watch is answered 410 only at the next change under its prefix (trace: op/config v5 at 1.1 s heard at 6.8 s, when v9 came). Ruled out: dead connections (the answer came on the old one), keep-alive intervals. Change: a watch waits 2 s instead of 30.

--- a/internal/cluster/follow.go
+++ b/internal/cluster/follow.go
@@ -14,10 +14,11 @@
 )
 
 const (
-	// watchWait is how long one watch call waits: the longest that the store
-	// grants, as each call has its price. A connection that goes silent is found
-	// by its keep-alive probes long before.
-	watchWait = 30 * time.Second
+	// watchWait is how long one watch call waits. A store that dropped history
+	// which a waiting watch had not heard says so only at the next change, so a
+	// declaration would be missed until another one comes. Asking anew every two
+	// seconds finds it; longer waits would save calls and break the bound.
+	watchWait = 2 * time.Second
 	// firstRetry and mostRetry bound the pause after a failed call. A store that
 	// is back must be noticed within the second that new declarations have to
 	// spare, and one that is down is not worth more calls than that.
