Load weights by cohorts; resume the texts of ended jobs

Cause: a loading engine starts nothing for 0.9 s, and with every engine loading at every version a fifth of the places stood empty just when a step came (95 refused runs for 72 items in one step). Groups that come back with the next step were begun anew, and they hold its longest items.

Ruled out: runs under way pausing during loads (28.4 ms an event before and during a load).

Change: half of a model's engines load at each version, in turn, unless steps need the newest; loads wait 250 ms after a version is named; an owner keeps what it has of an ended job's texts; a result that comes alone is written at once.

--- a/internal/batchrun/commit.go
+++ b/internal/batchrun/commit.go
@@ -36,8 +36,8 @@
 		j.mu.Unlock()
 		o.kick()
 	}()
-	pause(j.ctx, gatherResults)
 	for j.ctx.Err() == nil {
+		pause(j.ctx, time.Until(j.written.Add(gatherResults)))
 		j.mu.Lock()
 		position, results := j.job.Undurable()
 		results = firstChunk(results)
@@ -45,6 +45,7 @@
 		if len(results) == 0 {
 			return
 		}
+		j.written = time.Now()
 		written, err := o.writeChunk(j, position, results)
 		if err == nil {
 			o.durable(j, position, results[:written])
--- a/internal/batchrun/owner.go
+++ b/internal/batchrun/owner.go
@@ -24,8 +24,9 @@
 const (
 	// lookEvery is how often items that wait are looked at without a cause.
 	lookEvery = 25 * time.Millisecond
-	// gatherResults is how long results are gathered for one write. Readers poll
-	// twice a second; at this pace a job costs at most four writes a second.
+	// gatherResults passes at least between two writes of a job's results. A result
+	// that comes alone, as a straggler's does, is written at once; readers poll
+	// twice a second, and at this pace a job costs at most four writes a second.
 	gatherResults = 250 * time.Millisecond
 	// retryWrite is the pause after a write that failed.
 	retryWrite = 200 * time.Millisecond
@@ -42,6 +43,8 @@
 	Keep      time.Duration // how long results stay readable after submission
 	Registry  metrics.Registry
 
+	// Adopted is called with each job taken on; may be nil.
+	Adopted func(*batch.Spec)
 	// The store's state as the follower of the marks sees it; may be nil.
 	Lost func(error)
 	Back func()
@@ -50,6 +53,7 @@
 
 	mu    sync.Mutex
 	jobs  map[string]*ownedJob
+	left  *batch.Leftovers
 	wake  chan struct{}
 	runs  errgroup.Group
 	stats stats
@@ -73,11 +77,13 @@
 	job     *batch.Job
 	readers chan struct{} // closed and replaced when results become durable
 	writing bool
+	written time.Time // of the last write; only its writer uses it
 }
 
 // Init prepares the owner; it must be called before anything else.
 func (o *Owner) Init() {
 	o.jobs = map[string]*ownedJob{}
+	o.left = batch.NewLeftovers()
 	o.wake = make(chan struct{}, 1)
 	o.stats = stats{
 		listed:  metrics.GetOrRegisterCounter("batch.items.listed", o.Registry),
@@ -193,9 +199,13 @@
 	owned := &ownedJob{id: id, mark: mark, job: job, readers: make(chan struct{})}
 	owned.ctx, owned.cancel = context.WithCancel(ctx)
 	o.jobs[id] = owned
+	resumed := o.left.Give(time.Now(), job)
 	o.mu.Unlock()
+	if o.Adopted != nil {
+		o.Adopted(job.Spec)
+	}
 	_, _, _, done := job.Counts()
-	events.JobOwned.Log(o.Log, logrus.Fields{"job": id, "mark": mark, "items": job.Total(), "done": done, "model": job.Spec.Model, "min_version": job.Spec.MinVersion, "step": job.Spec.Step})
+	events.JobOwned.Log(o.Log, logrus.Fields{"job": id, "mark": mark, "resumed": resumed, "items": job.Total(), "done": done, "model": job.Spec.Model, "min_version": job.Spec.MinVersion, "step": job.Spec.Step})
 	o.kick()
 }
 
@@ -209,8 +219,9 @@
 		return
 	}
 	delete(o.jobs, id)
-	o.mu.Unlock()
 	owned.close()
+	o.left.Keep(time.Now(), owned.job)
+	o.mu.Unlock()
 	events.JobDropped.Log(o.Log, logrus.Fields{"job": id, "mark": owned.mark, "revision": revision})
 }
 
--- a/internal/modelrun/modelrun.go
+++ b/internal/modelrun/modelrun.go
@@ -66,6 +66,7 @@
 
 	mu       sync.Mutex
 	named    map[string]int64
+	needed   map[string]int64
 	planners map[string]*modelplan.Planner // by service
 	accepted map[engineKey]int64           // orders accepted, as far as known
 	orders   errgroup.Group
@@ -87,6 +88,16 @@
 	r.named[model] = max(r.named[model], version)
 }
 
+// Need notes the oldest version that a step accepts.
+func (r *Runner) Need(model string, version int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.needed == nil {
+		r.needed = map[string]int64{}
+	}
+	r.needed[model] = max(r.needed[model], version)
+}
+
 // Run gives orders until ctx ends.
 func (r *Runner) Run(ctx context.Context) error {
 	ticker := time.NewTicker(planEvery)
@@ -155,7 +166,8 @@
 		r.planners[service] = planner
 	}
 	for _, model := range models {
-		planner.Name(model, r.named[model])
+		planner.Name(time.Now(), model, r.named[model])
+		planner.Need(model, r.needed[model])
 	}
 	return planner.Next(time.Now(), engines)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,6 +28,7 @@
 	"siskinloom.example/siskinloom/internal/modelrun"
 	"siskinloom.example/siskinloom/internal/netdial"
 	"siskinloom.example/siskinloom/internal/observe"
+	"siskinloom.example/siskinloom/internal/policy/batch"
 	"siskinloom.example/siskinloom/internal/rpcpool"
 )
 
@@ -121,6 +122,10 @@
 	n.desk = &batchrun.Desk{Store: a.Store, Members: n.members, Peers: rpcpool.New(netdial.Dial), Local: n.owner, Log: log, ValueBytes: s.ValueBytes}
 	n.mover = &batchrun.Mover{Self: s.ID, Store: a.Store, Members: n.members, Log: log, Unsettled: n.trouble.recent}
 	n.gate = gate.New(n.directory, a.Sender, log, registry)
+	peers := n.desk.Peers
+	n.owner.Adopted = func(spec *batch.Spec) {
+		modelrun.Tell(context.Background(), n.members, peers, spec.Model, spec.MinVersion)
+	}
 	if s.Worker {
 		n.leader = cluster.NewLeader(a.Store, cluster.DutyKey+dutyWeights, s.ID, s.LeaseTTL, func() bool { return !n.stopping.Load() }, n.leads)
 		n.registrar.DutyGone = func(string) { n.leader.Vacant() }
@@ -195,6 +200,11 @@
 	if err := n.owner.Register(calls); err != nil {
 		return nil, errors.Wrap(err, "node: inner calls")
 	}
+	if n.models != nil {
+		if err := n.models.Register(calls); err != nil {
+			return nil, err
+		}
+	}
 	group.Go(func() error { return serveCalls(ctx, calls, inner) })
 	if n.settings.Callers != "" {
 		handler := n.adapter.Ingress(Parts{Gate: n.gate, Desk: n.desk, Stopping: n.stopping.Load})
--- a/internal/policy/modelplan/modelplan.go
+++ b/internal/policy/modelplan/modelplan.go
@@ -1,10 +1,12 @@
 // Package modelplan decides which engine carries which model and when it loads
 // a new weight version. It does no input or output and keeps no time.
 //
-// A load takes an engine out for about a second and throws its cache away, so
-// no engine follows more than one model. Engines are dealt out evenly, each to
-// the model for which its weights are newest, so that a deal stays as it is
-// while engines come and go.
+// For about a second a loading engine starts nothing new, though what it runs
+// goes on, and its cache is lost. So no engine follows more than one model:
+// engines are dealt out evenly, each to the model for which its weights are
+// newest, so that a deal stays as it is while engines come and go. And where
+// steps accept the version before the newest, half of a model's engines load at
+// each version, in turn, so that the other half takes the step's first items.
 package modelplan
 
 import (
@@ -25,9 +27,11 @@
 	confirmWithin = 4 * time.Second
 	// retryPause follows an order that failed or has no answer.
 	retryPause = 700 * time.Millisecond
-	// urgentGap is the distance to the named version at which an engine can no
-	// longer generate for the step that is asked now.
-	urgentGap = 2
+	// cohorts load in turn where steps accept the version before the newest.
+	cohorts = 2
+	// settleNamed is how long loads wait after a version is named: the step that
+	// waited for it comes within some 50 ms and fills the engines' slots first.
+	settleNamed = 250 * time.Millisecond
 )
 
 // Engine is one engine as the platform lists it.
@@ -79,19 +83,35 @@
 type Planner struct {
 	models  []string // sorted
 	named   map[string]int64
-	pending map[string]*pending // by engine
+	since   map[string]time.Time // when the newest version was named
+	needed  map[string]int64     // oldest version that the newest step accepts
+	slack   map[string]int64     // versions that a step accepts behind the newest
+	pending map[string]*pending  // by engine
 }
 
 // New returns a planner for the models of a service.
 func New(models []string) *Planner {
 	sorted := append([]string(nil), models...)
 	sort.Strings(sorted)
-	return &Planner{models: sorted, named: map[string]int64{}, pending: map[string]*pending{}}
+	return &Planner{models: sorted, named: map[string]int64{}, since: map[string]time.Time{}, needed: map[string]int64{}, slack: map[string]int64{}, pending: map[string]*pending{}}
 }
 
 // Name notes the newest version of a model. Older ones are ignored.
-func (p *Planner) Name(model string, version int64) {
-	p.named[model] = max(p.named[model], version)
+func (p *Planner) Name(now time.Time, model string, version int64) {
+	if version > p.named[model] {
+		p.named[model] = version
+		p.since[model] = now
+	}
+}
+
+// Need notes the oldest version that a step accepts. Engines below it can do
+// nothing for the step.
+func (p *Planner) Need(model string, version int64) {
+	if version <= p.needed[model] {
+		return
+	}
+	p.needed[model] = version
+	p.slack[model] = max(0, p.named[model]-version)
 }
 
 // Next returns the orders to give now.
@@ -212,19 +232,20 @@
 	return quota
 }
 
-// byNeed puts the engines that can serve no new step first, then the idle ones.
+// byNeed puts the engines that can serve no new step first.
 func (p *Planner) byNeed(live []Engine, carried map[string]string) []Engine {
 	sorted := append([]Engine(nil), live...)
-	urgent := func(e Engine) bool { return p.gap(e, carried[e.ID]) >= urgentGap }
-	sort.SliceStable(sorted, func(i, j int) bool {
-		if urgent(sorted[i]) != urgent(sorted[j]) {
-			return urgent(sorted[i])
-		}
-		return sorted[i].Load < sorted[j].Load
-	})
+	urgent := func(e Engine) bool { return p.urgent(e, carried[e.ID]) }
+	sort.SliceStable(sorted, func(i, j int) bool { return urgent(sorted[i]) && !urgent(sorted[j]) })
 	return sorted
 }
 
+// urgent tells whether the engine cannot serve the newest step of its model, or
+// will not be able to serve the next one.
+func (p *Planner) urgent(e Engine, model string) bool {
+	return e.Versions[model] < p.needed[model] || p.gap(e, model) >= cohorts
+}
+
 func (p *Planner) order(now time.Time, e Engine, model string) (Order, bool) {
 	if model == "" || p.gap(e, model) == 0 {
 		return Order{}, false
@@ -232,9 +253,22 @@
 	if w, found := p.pending[e.ID]; found && (w.waiting || now.Before(w.again)) {
 		return Order{}, false
 	}
+	if !p.urgent(e, model) && !p.turn(now, e, model) {
+		return Order{}, false
+	}
 	return Order{Engine: e.ID, Born: e.Born, Model: model, Version: p.named[model]}, true
 }
 
+// turn tells whether an engine that could still serve should load now.
+func (p *Planner) turn(now time.Time, e Engine, model string) bool {
+	if now.Sub(p.since[model]) < settleNamed {
+		return false
+	}
+	return p.slack[model] == 0 || cohort(e.ID) == p.named[model]%cohorts
+}
+
+func cohort(id string) int64 { return int64(rendezvous.Key(id) % cohorts) }
+
 // Done takes in what became of an order. One without an answer keeps its place
 // among the loads, as it may be carried out yet.
 func (p *Planner) Done(now time.Time, o Order, result Result) {
