Have entries take news of the fleet from workers

Cause: each process followed four prefixes of the store by itself, 13.5 watch calls a second on eight machines; at 370 nodes that alone is over the store's rate. Change: workers follow the store and pass news on over the inner protocol; an entry falls back to the store when no worker has heard from it for 2.5 s; accepted and ended jobs are told to their owner by a call, so the watch of the marks may wait 6 s. Ruled out: stale reads (seconds old), longer watches on declarations (see the watch's comment).

--- a/internal/batchrun/desk.go
+++ b/internal/batchrun/desk.go
@@ -89,6 +89,7 @@
 	}
 	if committed.Done {
 		d.remember(spec.ID, record)
+		d.tellOwner(owner, callMarked, MarkArgs{Job: spec.ID, Revision: committed.Revision})
 	}
 	return true, nil // otherwise the key exists: it was accepted before
 }
@@ -199,9 +200,23 @@
 		return false, true, errors.Wrap(kv.ErrUnknown, "the job moved meanwhile") // look again
 	}
 	d.remember(id, record)
+	d.tellOwner(record.Owner, callEnded, MarkArgs{Job: id, Revision: committed.Revision})
 	return true, true, nil
 }
 
+// tellOwner tells an owner what its watch will tell it as well, only later.
+func (d *Desk) tellOwner(owner, method string, args MarkArgs) {
+	go func() {
+		if owner == d.Local.Name {
+			d.Local.take(method, args)
+			return
+		}
+		if err := d.call(context.Background(), owner, method, 0, args, &struct{}{}); err != nil {
+			events.OwnerNotTold.Log(d.Log, logrus.Fields{"job": args.Job, "owner": owner, "revision": args.Revision, "error": err.Error()})
+		}
+	}()
+}
+
 // fetch reads a job's record from the store and remembers it.
 func (d *Desk) fetch(ctx context.Context, id string) (kv.Record, jobRecord, error) {
 	var record jobRecord
--- a/internal/batchrun/owner.go
+++ b/internal/batchrun/owner.go
@@ -28,6 +28,9 @@
 	// that comes alone, as a straggler's does, is written at once; readers poll
 	// twice a second, and at this pace a job costs at most four writes a second.
 	gatherResults = 250 * time.Millisecond
+	// marksWait is how long the watch of the marks waits. Who accepts or ends a job
+	// tells its owner by a call; the watch is for calls that did not come through.
+	marksWait = 6 * time.Second
 	// retryWrite is the pause after a write that failed.
 	retryWrite = 200 * time.Millisecond
 )
@@ -51,12 +54,14 @@
 
 	lifetime context.Context // of Run
 
-	mu    sync.Mutex
-	jobs  map[string]*ownedJob
-	left  *batch.Leftovers
-	wake  chan struct{}
-	runs  errgroup.Group
-	stats stats
+	mu     sync.Mutex
+	jobs   map[string]*ownedJob
+	claims map[string]int64 // revision of the mark being loaded, by job
+	ended  *endedJobs
+	left   *batch.Leftovers
+	wake   chan struct{}
+	runs   errgroup.Group
+	stats  stats
 }
 
 type stats struct {
@@ -83,6 +88,8 @@
 // Init prepares the owner; it must be called before anything else.
 func (o *Owner) Init() {
 	o.jobs = map[string]*ownedJob{}
+	o.claims = map[string]int64{}
+	o.ended = newEndedJobs()
 	o.left = batch.NewLeftovers()
 	o.wake = make(chan struct{}, 1)
 	o.stats = stats{
@@ -103,12 +110,12 @@
 	group, ctx := errgroup.WithContext(ctx)
 	o.lifetime = ctx
 	var listed atomic.Bool
-	marks := &cluster.Follower{
-		Store: o.Store, Prefix: todoPrefix(o.Name), Failed: o.Lost, Recovered: o.Back,
+	marks := &cluster.Follower{Store: o.Store, Failed: o.Lost, Recovered: o.Back, Wait: marksWait, Topic: &cluster.Topic{
+		Prefix:  todoPrefix(o.Name),
 		Changed: func(r kv.Record) { group.Go(func() error { o.marked(ctx, r, listed.Load()); return nil }) },
 		Deleted: func(key string, revision int64) { o.drop(jobOfTodo(key), revision) },
 		Synced:  func() { listed.Store(true) },
-	}
+	}}
 	group.Go(func() error { return marks.Run(ctx) })
 	group.Go(func() error { return o.dispatch(ctx) })
 	return group.Wait()
@@ -125,6 +132,17 @@
 	o.remark(ctx, jobOfTodo(mark.Key), mark.Revision)
 }
 
+// told takes on a job that was just accepted for this process, ahead of the
+// watch of its marks. The watch repeats the same revision, which changes nothing.
+func (o *Owner) told(args MarkArgs) {
+	raw, err := encode(todoMark{Fresh: true})
+	if err != nil || o.lifetime == nil {
+		return
+	}
+	mark := kv.Record{Key: todoKey(o.Name, args.Job), Value: raw, Revision: args.Revision}
+	go o.adopt(o.lifetime, mark)
+}
+
 // remark writes the mark anew if it still has the revision. The follower then
 // tells the new one, and the job is loaded with all results that are durable.
 func (o *Owner) remark(ctx context.Context, id string, revision int64) {
@@ -147,6 +165,10 @@
 // may run the job meanwhile.
 func (o *Owner) adopt(ctx context.Context, mark kv.Record) {
 	id := jobOfTodo(mark.Key)
+	if !o.claim(id, mark.Revision) {
+		return
+	}
+	defer o.unclaim(id, mark.Revision)
 	for ctx.Err() == nil {
 		spec, durable, err := o.load(ctx, id, mark)
 		switch {
@@ -163,6 +185,26 @@
 	}
 }
 
+// claim tells whether a mark is still to be taken in, and keeps a second word of
+// it from loading the job twice.
+func (o *Owner) claim(id string, mark int64) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if j := o.jobs[id]; j != nil && j.mark >= mark || o.claims[id] >= mark {
+		return false
+	}
+	o.claims[id] = mark
+	return true
+}
+
+func (o *Owner) unclaim(id string, mark int64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.claims[id] == mark {
+		delete(o.claims, id)
+	}
+}
+
 func (o *Owner) load(ctx context.Context, id string, mark kv.Record) (*batch.Spec, []batch.Result, error) {
 	var state todoMark
 	if err := decode(mark.Value, &state); err != nil {
@@ -189,6 +231,10 @@
 
 func (o *Owner) begin(ctx context.Context, id string, mark int64, job *batch.Job) {
 	o.mu.Lock()
+	if o.ended.since(id, mark) {
+		o.mu.Unlock()
+		return
+	}
 	if old := o.jobs[id]; old != nil {
 		if old.mark >= mark {
 			o.mu.Unlock()
@@ -213,6 +259,7 @@
 // process owns it.
 func (o *Owner) drop(id string, revision int64) {
 	o.mu.Lock()
+	o.ended.note(id, revision)
 	owned := o.jobs[id]
 	if owned == nil || owned.mark > revision {
 		o.mu.Unlock()
@@ -225,6 +272,24 @@
 	events.JobDropped.Log(o.Log, logrus.Fields{"job": id, "mark": owned.mark, "revision": revision})
 }
 
+// endedJobs remembers at which revision marks went: a job that is still being
+// loaded when its end is told must not begin after it.
+type endedJobs struct{ at map[string]int64 }
+
+// mostEnded bounds it; an entry is of use for the second that loading takes.
+const mostEnded = 256
+
+func newEndedJobs() *endedJobs { return &endedJobs{at: map[string]int64{}} }
+
+func (e *endedJobs) note(id string, revision int64) {
+	if len(e.at) >= mostEnded {
+		e.at = map[string]int64{}
+	}
+	e.at[id] = max(e.at[id], revision)
+}
+
+func (e *endedJobs) since(id string, mark int64) bool { return e.at[id] >= mark }
+
 // close stops the job's runs.
 func (j *ownedJob) close() {
 	j.mu.Lock()
--- a/internal/batchrun/rpc.go
+++ b/internal/batchrun/rpc.go
@@ -12,6 +12,8 @@
 	serviceName = "Batch"
 	callRead    = serviceName + ".Read"
 	callBody    = serviceName + ".Body"
+	callMarked  = serviceName + ".Marked"
+	callEnded   = serviceName + ".Ended"
 )
 
 // callSlack is how much longer than its own wait a call to an owner may take.
@@ -60,3 +62,30 @@
 	*reply = s.owner.body(args)
 	return nil
 }
+
+// MarkArgs tells an owner of a change of its mark for a job.
+type MarkArgs struct {
+	Job      string
+	Revision int64
+}
+
+// Marked implements the call of that name: the job is this process's.
+func (s *Service) Marked(args MarkArgs, _ *struct{}) error {
+	s.owner.told(args)
+	return nil
+}
+
+// Ended implements the call of that name: the job was ended.
+func (s *Service) Ended(args MarkArgs, _ *struct{}) error {
+	s.owner.drop(args.Job, args.Revision)
+	return nil
+}
+
+// take carries out a word to this process's own owner.
+func (o *Owner) take(method string, args MarkArgs) {
+	if method == callMarked {
+		o.told(args)
+		return
+	}
+	o.drop(args.Job, args.Revision)
+}
--- a/internal/cluster/follow.go
+++ b/internal/cluster/follow.go
@@ -28,25 +28,22 @@
 
 // Follower follows one prefix of the store.
 type Follower struct {
-	Store  kv.Shared
-	Prefix string
-	// Changed is called with each record as it stands, in the order of revisions;
-	// Deleted with each key that went. Both are called from one goroutine.
-	Changed func(kv.Record)
-	Deleted func(key string, revision int64)
-	// Synced is called after each listing was told in full. May be nil.
-	Synced func()
+	Store kv.Shared
+	Topic *Topic
+	// Wait is how long one watch call waits; 0 stands for the shortest.
+	Wait time.Duration
+	// Heard is called after each call that succeeded, with the revision up to
+	// which everything was told; may be nil.
+	Heard func(asOf int64)
 	// Failed is called when a call fails, Recovered when one succeeds again.
 	Failed    func(error)
 	Recovered func()
 
-	known  map[string]int64 // revision by key
 	broken bool
 }
 
 // Run follows the prefix until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
-	f.known = map[string]int64{}
 	pause := firstRetry
 	asOf := int64(-1)
 	for ctx.Err() == nil {
@@ -54,7 +51,7 @@
 		if err == nil {
 			asOf = next
 			pause = firstRetry
-			f.fine()
+			f.fine(asOf)
 			continue
 		}
 		if errors.Is(err, kv.ErrHistoryGone) {
@@ -72,54 +69,29 @@
 	if asOf < 0 {
 		return f.list(ctx)
 	}
-	changes, err := f.Store.Await(ctx, f.Prefix, asOf, watchWait)
+	changes, err := f.Store.Await(ctx, f.Topic.Prefix, asOf, max(f.Wait, watchWait))
 	if err != nil {
 		return 0, err
 	}
 	for _, c := range changes.Changes {
-		f.tell(c)
+		f.Topic.tell(c)
 	}
 	return max(asOf, changes.AsOf), nil
 }
 
 func (f *Follower) list(ctx context.Context) (int64, error) {
-	page, err := kv.ReadAll(ctx, f.Store, f.Prefix)
+	page, err := kv.ReadAll(ctx, f.Store, f.Topic.Prefix)
 	if err != nil {
 		return 0, err
 	}
-	present := make(map[string]bool, len(page.Records))
-	for _, r := range page.Records {
-		present[r.Key] = true
-		f.tell(kv.Change{Record: r})
-	}
-	for key := range f.known {
-		if !present[key] {
-			f.tell(kv.Change{Record: kv.Record{Key: key, Revision: page.AsOf}, Deleted: true})
-		}
-	}
-	if f.Synced != nil {
-		f.Synced()
-	}
+	f.Topic.listing(page)
 	return page.AsOf, nil
 }
 
-// tell passes a change on unless a newer one of its key was told: the pages of
-// a listing are no snapshot, and the watch from its start repeats some changes.
-func (f *Follower) tell(c kv.Change) {
-	r := c.Record
-	if r.Revision <= f.known[r.Key] {
-		return
+func (f *Follower) fine(asOf int64) {
+	if f.Heard != nil {
+		f.Heard(asOf)
 	}
-	if c.Deleted {
-		delete(f.known, r.Key)
-		f.Deleted(r.Key, r.Revision)
-		return
-	}
-	f.known[r.Key] = r.Revision
-	f.Changed(r)
-}
-
-func (f *Follower) fine() {
 	if f.broken && f.Recovered != nil {
 		f.Recovered()
 	}
--- a/internal/cluster/members.go
+++ b/internal/cluster/members.go
@@ -104,7 +104,7 @@
 	delete(m.list, name)
 }
 
-// Registrar keeps this process registered under a lease and follows the
+// Registrar keeps this process registered under a lease and takes in the
 // registrations of the others.
 type Registrar struct {
 	Store   kv.Shared
@@ -117,28 +117,20 @@
 	Gone func(name string)
 	// DutyGone is called when a duty's key goes; may be nil.
 	DutyGone func(key string)
-	// The store's state as the followers see it; may be nil.
-	Failed    func(error)
-	Recovered func()
+	mu       sync.Mutex
+	lease    kv.LeaseID
+	leaving  bool
+	again    chan struct{} // the registration must be made anew
+}
 
-	mu      sync.Mutex
-	lease   kv.LeaseID
-	leaving bool
-	again   chan struct{} // the registration must be made anew
+// NewRegistrar returns a registrar that has not registered yet.
+func NewRegistrar(store kv.Shared, self Member, ttl time.Duration, members *Members, log *logrus.Logger) *Registrar {
+	return &Registrar{Store: store, Self: self, TTL: ttl, Members: members, Log: log, again: make(chan struct{}, 1)}
 }
 
-// Run registers this process and follows the others until ctx ends.
-func (r *Registrar) Run(ctx context.Context) error {
-	r.again = make(chan struct{}, 1)
-	follower := &Follower{Store: r.Store, Prefix: prefixLive, Changed: r.changed, Deleted: r.deleted, Failed: r.Failed, Recovered: r.Recovered}
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		r.keep(ctx)
-	}()
-	err := follower.Run(ctx)
-	<-done
-	return err
+// Topic returns the topic that keeps the members up to date.
+func (r *Registrar) Topic() *Topic {
+	return &Topic{Prefix: prefixLive, Changed: r.changed, Deleted: r.deleted}
 }
 
 func (r *Registrar) changed(record kv.Record) {
@@ -180,16 +172,16 @@
 	}
 }
 
-// keep holds the registration: it renews the lease and registers anew when the
-// lease or its key was lost.
-func (r *Registrar) keep(ctx context.Context) {
+// Run holds the registration until ctx ends: it renews the lease and registers
+// anew when the lease or its key was lost.
+func (r *Registrar) Run(ctx context.Context) error {
 	wait := time.Duration(0)
 	for {
 		timer := time.NewTimer(wait)
 		select {
 		case <-ctx.Done():
 			timer.Stop()
-			return
+			return nil
 		case <-r.again:
 			timer.Stop()
 			r.forget()
--- /dev/null
+++ b/internal/cluster/subscribe.go
@@ -0,0 +1,169 @@
+package cluster
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"siskinloom.example/siskinloom/internal/kv"
+	"siskinloom.example/siskinloom/internal/policy/rendezvous"
+	"siskinloom.example/siskinloom/internal/rpcpool"
+)
+
+const (
+	// directSpell is how long news are taken from the store itself once no worker
+	// has fresh ones, before the workers are asked again.
+	directSpell = 4 * time.Second
+	// newsSlack is how much longer than its own wait a call for news may take.
+	newsSlack = 500 * time.Millisecond
+)
+
+var errStaleNews = errors.New("cluster: worker has not heard from the store lately")
+
+// Subscriber keeps topics up to date from workers that follow the store, or
+// from the store itself while none of them can.
+type Subscriber struct {
+	Store   kv.Shared
+	Topics  []*Topic
+	Members *Members
+	Peers   *rpcpool.Pool
+	Self    Member
+	// Failed and Recovered tell of the store where it is followed directly.
+	Failed    func(error)
+	Recovered func()
+	// Source is told where news come from from now on; may be nil.
+	Source func(name string, why error)
+}
+
+// Run keeps the topics up to date until ctx ends.
+func (s *Subscriber) Run(ctx context.Context) error {
+	s.direct(ctx, true)
+	for ctx.Err() == nil {
+		s.fromWorkers(ctx)
+		if ctx.Err() == nil {
+			s.direct(ctx, false)
+		}
+	}
+	return nil
+}
+
+// direct follows the store itself: at the start until everything is known, later
+// for a spell.
+func (s *Subscriber) direct(ctx context.Context, start bool) {
+	s.note("store", nil)
+	spell, cancel := context.WithCancel(ctx)
+	defer cancel()
+	timer := time.AfterFunc(directSpell, cancel)
+	defer timer.Stop()
+	heard := make(chan struct{}, len(s.Topics))
+	var group errgroup.Group
+	for _, topic := range s.Topics {
+		first := true
+		f := &Follower{Store: s.Store, Topic: topic, Failed: s.Failed, Recovered: s.Recovered, Heard: func(int64) {
+			if first {
+				first = false
+				heard <- struct{}{}
+			}
+		}}
+		group.Go(func() error { return f.Run(spell) })
+	}
+	if start {
+		for range s.Topics {
+			select {
+			case <-heard:
+			case <-spell.Done():
+			}
+		}
+		cancel()
+	}
+	_ = group.Wait() // followers end with their context and return no error
+}
+
+// fromWorkers takes news from one worker after the other until none has any.
+func (s *Subscriber) fromWorkers(ctx context.Context) {
+	for _, worker := range s.workers() {
+		err := s.follow(ctx, worker)
+		if ctx.Err() != nil {
+			return
+		}
+		s.note(worker.Name, err)
+	}
+}
+
+// workers lists those to be asked, in this process's failure domain first.
+func (s *Subscriber) workers() []Member {
+	var workers []Member
+	for _, m := range s.Members.Live() {
+		if m.Worker && !m.Leaving {
+			workers = append(workers, m)
+		}
+	}
+	self := rendezvous.Key(s.Self.Name)
+	sort.SliceStable(workers, func(i, j int) bool {
+		near, other := workers[i].Domain == s.Self.Domain, workers[j].Domain == s.Self.Domain
+		if near != other {
+			return near
+		}
+		return rendezvous.Weight(self, rendezvous.Key(workers[i].Name)) > rendezvous.Weight(self, rendezvous.Key(workers[j].Name))
+	})
+	return workers
+}
+
+// follow takes a worker's news until it fails or has none that are fresh.
+func (s *Subscriber) follow(ctx context.Context, worker Member) error {
+	args := NewsArgs{Wait: relayWait}
+	for ctx.Err() == nil {
+		reply, err := s.ask(ctx, worker.Address, args)
+		switch {
+		case err != nil:
+			return err
+		case reply.Stale:
+			return errStaleNews
+		}
+		s.take(reply)
+		args.Boot, args.Seq = reply.Boot, reply.Seq
+		if current, listed := s.Members.Get(worker.Name); !listed || current.Leaving {
+			return errors.New("cluster: worker leaves")
+		}
+	}
+	return nil
+}
+
+func (s *Subscriber) ask(ctx context.Context, address string, args NewsArgs) (NewsReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, args.Wait+newsSlack)
+	defer cancel()
+	var reply NewsReply
+	if err := s.Peers.Call(ctx, address, callNews, args, &reply); err != nil {
+		return NewsReply{}, err // the reply may still be written to
+	}
+	return reply, nil
+}
+
+func (s *Subscriber) take(reply NewsReply) {
+	for _, topic := range s.Topics {
+		news, found := reply.Topics[topic.Prefix]
+		if !found {
+			continue
+		}
+		if !reply.Full {
+			for _, c := range news.Changes {
+				topic.tell(c)
+			}
+			continue
+		}
+		page := kv.Page{AsOf: news.AsOf}
+		for _, c := range news.Changes {
+			page.Records = append(page.Records, c.Record)
+		}
+		topic.listing(page)
+	}
+}
+
+func (s *Subscriber) note(name string, why error) {
+	if s.Source != nil {
+		s.Source(name, why)
+	}
+}
--- a/internal/events/fleet.go
+++ b/internal/events/fleet.go
@@ -28,6 +28,7 @@
 	ItemListed     = define(2111, logrus.InfoLevel, "item has its result")
 	ItemScoreLost  = define(2112, logrus.WarnLevel, "scoring call gave no score")
 	ResultsDelayed = define(2113, logrus.WarnLevel, "results could not be written")
+	OwnerNotTold   = define(2115, logrus.InfoLevel, "owner was not told of its mark; its watch will tell it")
 	ReadFailed     = define(2114, logrus.WarnLevel, "results of a batch job could not be read")
 )
 
@@ -46,6 +47,7 @@
 	MemberRegistered = define(2210, logrus.InfoLevel, "this process registered itself")
 	MemberLapsed     = define(2211, logrus.WarnLevel, "this process's registration was taken away")
 	RetireAsked      = define(2212, logrus.InfoLevel, "this machine is to be emptied")
+	NewsFrom         = define(2214, logrus.InfoLevel, "news of the fleet come from another source")
 	RetireDone       = define(2213, logrus.InfoLevel, "this machine is empty")
 )
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -101,6 +101,7 @@
 	gate      *gate.Gate
 	leader    *cluster.Leader
 	models    *modelrun.Runner
+	relay     *cluster.Relay // workers only
 	trouble   storeTrouble
 
 	lingering lingering
@@ -113,10 +114,8 @@
 	n := &Node{settings: s, adapter: a, log: log, registry: registry, members: cluster.NewMembers()}
 	n.directory = directory.New(s.FailureDomain, a.Forget)
 	inner := net.JoinHostPort(s.IP, strconv.Itoa(s.InnerPort))
-	n.registrar = &cluster.Registrar{
-		Store: a.Store, TTL: s.LeaseTTL, Members: n.members, Log: log, Failed: n.storeFailed, Recovered: n.storeBack,
-		Self: cluster.Member{Name: s.ID, Address: inner, Domain: s.FailureDomain, Worker: s.Worker, Boot: time.Now().UnixNano()},
-	}
+	self := cluster.Member{Name: s.ID, Address: inner, Domain: s.FailureDomain, Worker: s.Worker, Boot: time.Now().UnixNano()}
+	n.registrar = cluster.NewRegistrar(a.Store, self, s.LeaseTTL, n.members, log)
 	n.owner = &batchrun.Owner{Name: s.ID, Store: a.Store, Directory: n.directory, Sender: a.Sender, Log: log, Keep: s.KeepResults, Registry: registry, Lost: n.storeFailed, Back: n.storeBack}
 	n.owner.Init()
 	n.desk = &batchrun.Desk{Store: a.Store, Members: n.members, Peers: rpcpool.New(netdial.Dial), Local: n.owner, Log: log, ValueBytes: s.ValueBytes}
@@ -127,6 +126,7 @@
 		modelrun.Tell(context.Background(), n.members, peers, spec.Model, spec.MinVersion)
 	}
 	if s.Worker {
+		n.relay = cluster.NewRelay(self.Boot)
 		n.leader = cluster.NewLeader(a.Store, cluster.DutyKey+dutyWeights, s.ID, s.LeaseTTL, func() bool { return !n.stopping.Load() }, n.leads)
 		n.registrar.DutyGone = func(string) { n.leader.Vacant() }
 		n.models = &modelrun.Runner{Self: s.ID, Directory: n.directory, Leader: n.leader, Commander: a.Commander, Log: log, Registry: registry}
@@ -200,10 +200,13 @@
 	if err := n.owner.Register(calls); err != nil {
 		return nil, errors.Wrap(err, "node: inner calls")
 	}
-	if n.models != nil {
+	if n.settings.Worker {
 		if err := n.models.Register(calls); err != nil {
 			return nil, err
 		}
+		if err := n.relay.Register(calls); err != nil {
+			return nil, err
+		}
 	}
 	group.Go(func() error { return serveCalls(ctx, calls, inner) })
 	if n.settings.Callers != "" {
--- a/internal/node/views.go
+++ b/internal/node/views.go
@@ -51,25 +51,70 @@
 	}
 }
 
-// follow starts the followers of what others write.
+// membersWait is how long the watch of the members waits: what it tells of has
+// no bound in seconds, as calls to a process that is gone fail by themselves.
+const membersWait = 6 * time.Second
+
+// follow keeps this process's view of what others write up to date: workers
+// from the store, and the others from the workers.
 func (n *Node) follow(ctx context.Context, group *errgroup.Group) {
 	keys := n.adapter.Keys
-	operator := keys.Declaration
-	if n.settings.Worker {
-		operator = keys.Operator
-	}
-	for _, f := range []*cluster.Follower{
-		{Prefix: operator, Changed: func(r kv.Record) { n.operatorWrote(ctx, group, r) }, Deleted: func(string, int64) {}},
-		{Prefix: keys.Endpoints, Changed: n.endpointListed, Deleted: n.endpointGone, Synced: func() { n.listed.Store(true) }},
-	} {
-		f.Store, f.Failed, f.Recovered = n.adapter.Store, n.storeFailed, n.storeBack
-		group.Go(func() error { return f.Run(ctx) })
+	declarations := &cluster.Topic{Prefix: keys.Declaration, Changed: func(r kv.Record) { n.operatorWrote(ctx, group, r) }, Deleted: func(string, int64) {}}
+	endpoints := &cluster.Topic{Prefix: keys.Endpoints, Changed: n.endpointListed, Deleted: n.endpointGone, Synced: func() { n.listed.Store(true) }}
+	members := n.registrar.Topic()
+	if !n.settings.Worker {
+		s := &cluster.Subscriber{
+			Store: n.adapter.Store, Topics: []*cluster.Topic{declarations, endpoints, members}, Members: n.members, Peers: n.desk.Peers,
+			Self: n.registrar.Self, Failed: n.storeFailed, Recovered: n.storeBack, Source: n.newsFrom,
+		}
+		group.Go(func() error { return s.Run(ctx) })
+		return
 	}
+	n.relay.Carry(declarations.Prefix, 0)
+	n.relay.Carry(endpoints.Prefix, 0)
+	n.relay.Carry(members.Prefix, membersWait)
 	n.registrar.Gone = func(name string) {
-		if n.settings.Worker {
-			group.Go(func() error { n.mover.MemberGone(ctx, name); return nil })
+		group.Go(func() error { n.mover.MemberGone(ctx, name); return nil })
+	}
+	operator := &cluster.Topic{Prefix: keys.Operator, Changed: func(r kv.Record) {
+		if r.Key == keys.Declaration {
+			n.relay.Put(keys.Declaration, kv.Change{Record: r})
 		}
+		declarations.Changed(r)
+	}, Deleted: declarations.Deleted}
+	n.followStore(ctx, group, operator, declarations.Prefix, 0)
+	n.followStore(ctx, group, n.relayed(endpoints), endpoints.Prefix, 0)
+	n.followStore(ctx, group, n.relayed(members), members.Prefix, membersWait)
+}
+
+func (n *Node) followStore(ctx context.Context, group *errgroup.Group, topic *cluster.Topic, relayedAs string, wait time.Duration) {
+	f := &cluster.Follower{
+		Store: n.adapter.Store, Topic: topic, Wait: wait, Failed: n.storeFailed, Recovered: n.storeBack,
+		Heard: func(asOf int64) { n.relay.Heard(relayedAs, asOf) },
+	}
+	group.Go(func() error { return f.Run(ctx) })
+}
+
+// relayed returns the topic with its changes also passed on to other processes.
+func (n *Node) relayed(t *cluster.Topic) *cluster.Topic {
+	return &cluster.Topic{Prefix: t.Prefix, Synced: t.Synced,
+		Changed: func(r kv.Record) {
+			n.relay.Put(t.Prefix, kv.Change{Record: r})
+			t.Changed(r)
+		},
+		Deleted: func(key string, revision int64) {
+			n.relay.Put(t.Prefix, kv.Change{Record: kv.Record{Key: key, Revision: revision}, Deleted: true})
+			t.Deleted(key, revision)
+		},
+	}
+}
+
+func (n *Node) newsFrom(name string, why error) {
+	fields := logrus.Fields{"source": name}
+	if why != nil {
+		fields["failed"] = why.Error()
 	}
+	events.NewsFrom.Log(n.log, fields)
 }
 
 func (n *Node) operatorWrote(ctx context.Context, group *errgroup.Group, r kv.Record) {
