Deal engines by share of items; load first where the fewest are ready

Nine engines that all carried two models needed 2.25 loads a second of the 2 that may run at once.

Change: 4/3 engines' places are dealt by the models' items; the model whose ready engines are fewest for its share loads next; an engine loads every second version; a holder acts only within 0.5 s of the store's word, so that its successor follows 1 s sooner.

--- a/internal/cluster/leader.go
+++ b/internal/cluster/leader.go
@@ -14,10 +14,11 @@
 	// candidateLook is how often a process that does not lead looks whether it may;
 	// the registrations' follower tells it of most changes at once.
 	candidateLook = 5 * time.Second
-	// actShare of the lease's time after its last proof the holder may act, and
-	// as long a new one waits: the last lease lapsed a whole time after its proof,
-	// so together a whole lease's time lies between acts of two holders.
-	actShare = 0.5
+	// dutyTTL is the duty's own lease: a holder that is gone is replaced after it,
+	// and a shorter one would be renewed twice a second.
+	dutyTTL = 2 * time.Second
+	// actWithin is how long after the store's word a holder may act on it.
+	actWithin = 500 * time.Millisecond
 	// waitMargin covers the time a call takes.
 	waitMargin = 100 * time.Millisecond
 )
@@ -30,6 +31,7 @@
 	Key   string
 	Self  string
 	TTL   time.Duration
+	Apart time.Duration // must lie between the acts of two holders
 	Log   func(taken bool, term int64)
 	// May tells whether this process should stand for the duty.
 	May func() bool
@@ -43,8 +45,8 @@
 }
 
 // NewLeader returns a leader that does not hold the duty.
-func NewLeader(store kv.Shared, key, self string, ttl time.Duration, may func() bool, log func(bool, int64)) *Leader {
-	return &Leader{Store: store, Key: key, Self: self, TTL: ttl, May: may, Log: log, look: make(chan struct{}, 1)}
+func NewLeader(store kv.Shared, key, self string, apart, shortest time.Duration, may func() bool, log func(bool, int64)) *Leader {
+	return &Leader{Store: store, Key: key, Self: self, TTL: max(dutyTTL, shortest), Apart: apart, May: may, Log: log, look: make(chan struct{}, 1)}
 }
 
 // Vacant tells that the duty's key may have gone.
@@ -88,7 +90,7 @@
 func (l *Leader) Term(now time.Time) (int64, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.lease == 0 || now.Before(l.from) || now.Sub(l.proven) > time.Duration(actShare*float64(l.TTL)) {
+	if l.lease == 0 || now.Before(l.from) || now.Sub(l.proven) > l.TTL {
 		return 0, false
 	}
 	return l.term, true
@@ -111,7 +113,7 @@
 		l.Resign()
 		return 0, false
 	}
-	return term, time.Since(began) < l.TTL/3
+	return term, time.Since(began) < actWithin/2
 }
 
 // Resign forgets the duty; another process has it.
@@ -126,13 +128,17 @@
 	}
 }
 
+// wait is how long a new holder waits. The last one acted at most actWithin
+// after a proof of its lease, which lapsed a whole time after that proof.
+func (l *Leader) wait() time.Duration { return max(0, l.Apart-l.TTL) + actWithin + waitMargin }
+
 // Rest has this process act no more while it still holds the duty, and returns
 // after a lease's time.
 func (l *Leader) Rest(ctx context.Context) {
 	l.mu.Lock()
-	l.from = time.Now().Add(2 * l.TTL)
+	l.from = time.Now().Add(2 * l.Apart)
 	l.mu.Unlock()
-	sleep(ctx, l.TTL)
+	sleep(ctx, l.Apart)
 }
 
 // End gives the duty up, so that another can take it at once.
@@ -184,7 +190,7 @@
 	}
 	from := time.Now()
 	if standing.Revision == 0 {
-		from = from.Add(time.Duration(actShare*float64(l.TTL)) + waitMargin)
+		from = from.Add(l.wait())
 	}
 	l.mu.Lock()
 	l.lease, l.term, l.from, l.proven = lease, committed.Revision, from, began
--- a/internal/modelrun/modelrun.go
+++ b/internal/modelrun/modelrun.go
@@ -66,7 +66,7 @@
 
 	mu       sync.Mutex
 	named    map[string]int64
-	needed   map[string]int64
+	needed   map[string]NeedArgs // newest step by model
 	planners map[string]*modelplan.Planner // by service
 	accepted map[engineKey]int64           // orders accepted, as far as known
 	orders   errgroup.Group
@@ -88,14 +88,16 @@
 	r.named[model] = max(r.named[model], version)
 }
 
-// Need notes the oldest version that a step accepts.
-func (r *Runner) Need(model string, version int64) {
+// Need notes what a step needs.
+func (r *Runner) Need(step NeedArgs) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.needed == nil {
-		r.needed = map[string]int64{}
+		r.needed = map[string]NeedArgs{}
+	}
+	if step.Version >= r.needed[step.Model].Version {
+		r.needed[step.Model] = step
 	}
-	r.needed[model] = max(r.needed[model], version)
 }
 
 // Run gives orders until ctx ends.
@@ -167,7 +169,7 @@
 	}
 	for _, model := range models {
 		planner.Name(time.Now(), model, r.named[model])
-		planner.Need(model, r.needed[model])
+		planner.Need(model, r.needed[model].Version, r.needed[model].Items)
 	}
 	return planner.Next(time.Now(), engines)
 }
--- a/internal/modelrun/rpc.go
+++ b/internal/modelrun/rpc.go
@@ -21,10 +21,11 @@
 // step says it again.
 const tellLimit = 500 * time.Millisecond
 
-// NeedArgs tells the oldest version that a step accepts.
+// NeedArgs tells what a step needs.
 type NeedArgs struct {
 	Model   string
-	Version int64
+	Version int64 // oldest that it accepts
+	Items   int
 }
 
 // Service takes other processes' calls.
@@ -32,7 +33,7 @@
 
 // Need implements the call of that name.
 func (s *Service) Need(args NeedArgs, _ *struct{}) error {
-	s.runner.Need(args.Model, args.Version)
+	s.runner.Need(args)
 	return nil
 }
 
@@ -42,7 +43,7 @@
 }
 
 // Tell tells every worker what a step needs; whichever leads acts on it.
-func Tell(ctx context.Context, members *cluster.Members, peers *rpcpool.Pool, model string, version int64) {
+func Tell(ctx context.Context, members *cluster.Members, peers *rpcpool.Pool, step NeedArgs) {
 	for _, m := range members.Live() {
 		if !m.Worker {
 			continue
@@ -51,7 +52,7 @@
 			ctx, cancel := context.WithTimeout(ctx, tellLimit)
 			defer cancel()
 			// A process that does not answer learns it with the next step.
-			_ = peers.Call(ctx, m.Address, callNeed, NeedArgs{Model: model, Version: version}, &struct{}{})
+			_ = peers.Call(ctx, m.Address, callNeed, step, &struct{}{})
 		}()
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -46,7 +46,8 @@
 	ValueBytes    int // largest value the store holds
 	MemoryBytes   int64
 	StopTimeout   time.Duration // from SIGTERM to the end
-	LeaseTTL      time.Duration
+	LeaseTTL      time.Duration // of registrations; also what must lie between orders of two holders of a duty
+	MinTTL        time.Duration // shortest lease that the store grants
 	KeepResults   time.Duration // how long results stay readable after submission
 }
 
@@ -123,11 +124,11 @@
 	n.gate = gate.New(n.directory, a.Sender, log, registry)
 	peers := n.desk.Peers
 	n.owner.Adopted = func(spec *batch.Spec) {
-		modelrun.Tell(context.Background(), n.members, peers, spec.Model, spec.MinVersion)
+		modelrun.Tell(context.Background(), n.members, peers, modelrun.NeedArgs{Model: spec.Model, Version: spec.MinVersion, Items: len(spec.Items)})
 	}
 	if s.Worker {
 		n.relay = cluster.NewRelay(self.Boot)
-		n.leader = cluster.NewLeader(a.Store, cluster.DutyKey+dutyWeights, s.ID, s.LeaseTTL, func() bool { return !n.stopping.Load() }, n.leads)
+		n.leader = cluster.NewLeader(a.Store, cluster.DutyKey+dutyWeights, s.ID, s.LeaseTTL, s.MinTTL, func() bool { return !n.stopping.Load() }, n.leads)
 		n.registrar.DutyGone = func(string) { n.leader.Vacant() }
 		n.models = &modelrun.Runner{Self: s.ID, Directory: n.directory, Leader: n.leader, Commander: a.Commander, Log: log, Registry: registry}
 	}
--- a/internal/policy/batch/job.go
+++ b/internal/policy/batch/job.go
@@ -26,16 +26,15 @@
 )
 
 type itemState struct {
-	phase       phase
-	notBefore   time.Time
-	failures    int      // answers that the item failed
-	scoreFails  int      // answers that its scoring failed
-	text        [][]byte // data of the events so far
-	lastEvent   int64
-	versions    []int64 // that generated an event, in order of appearance
-	lastAt      string  // engine of the last run
-	scoreAt     string  // endpoint of the last score
-	scoreAnswer string
+	phase      phase
+	notBefore  time.Time
+	failures   int      // answers that the item failed
+	scoreFails int      // answers that its scoring failed
+	text       [][]byte // data of the events so far
+	lastEvent  int64
+	versions   []int64 // that generated an event, in order of appearance
+	lastAt     string  // engine of the last run
+	scoreAt    string  // endpoint of the last score
 }
 
 // Job is a batch job under way. It is not safe for concurrent use.
--- a/internal/policy/modelplan/modelplan.go
+++ b/internal/policy/modelplan/modelplan.go
@@ -1,12 +1,16 @@
 // Package modelplan decides which engine carries which model and when it loads
 // a new weight version. It does no input or output and keeps no time.
 //
-// For about a second a loading engine starts nothing new, though what it runs
-// goes on, and its cache is lost. So no engine follows more than one model:
-// engines are dealt out evenly, each to the model for which its weights are
-// newest, so that a deal stays as it is while engines come and go. And where
-// steps accept the version before the newest, half of a model's engines load at
-// each version, in turn, so that the other half takes the step's first items.
+// For about a second a loading engine starts nothing new of that model, though
+// what it runs goes on, and the model's cache is lost. Where steps accept the
+// version before the newest, an engine that loads every second version serves
+// every step, and loads just when its old version is of no more use. So half of
+// a model's engines follow the odd versions and half the even ones, and a step's
+// first items always find half of its engines free of loads.
+//
+// Loads are few: about a fifth of a service's engines may load at once, for a
+// second each. Each model gets engines by its share of the items, and the model
+// whose ready engines are fewest for its share loads first.
 package modelplan
 
 import (
@@ -27,8 +31,18 @@
 	confirmWithin = 4 * time.Second
 	// retryPause follows an order that failed or has no answer.
 	retryPause = 700 * time.Millisecond
-	// cohorts load in turn where steps accept the version before the newest.
-	cohorts = 2
+	// carriedShare is how many models' engines there are for each engine: over 1,
+	// as some engines carry two models, and low enough that the loads of a version
+	// are done before the next one is named.
+	carriedShare = 4.0 / 3
+	// fewestEngines is how many engines carry a model, whatever its share: one
+	// more than a crash may take.
+	fewestEngines = 2
+	// itemsWeight is the share of a new step in the running mean of a model's items.
+	itemsWeight = 0.5
+	// stride is every how many versions an engine loads where steps accept the
+	// version before the newest.
+	stride = 2
 	// settleNamed is how long loads wait after a version is named: the step that
 	// waited for it comes within some 50 ms and fills the engines' slots first.
 	settleNamed = 250 * time.Millisecond
@@ -86,6 +100,7 @@
 	since   map[string]time.Time // when the newest version was named
 	needed  map[string]int64     // oldest version that the newest step accepts
 	slack   map[string]int64     // versions that a step accepts behind the newest
+	items   map[string]float64   // running mean of a step's items
 	pending map[string]*pending  // by engine
 }
 
@@ -93,7 +108,7 @@
 func New(models []string) *Planner {
 	sorted := append([]string(nil), models...)
 	sort.Strings(sorted)
-	return &Planner{models: sorted, named: map[string]int64{}, since: map[string]time.Time{}, needed: map[string]int64{}, slack: map[string]int64{}, pending: map[string]*pending{}}
+	return &Planner{models: sorted, named: map[string]int64{}, since: map[string]time.Time{}, needed: map[string]int64{}, slack: map[string]int64{}, items: map[string]float64{}, pending: map[string]*pending{}}
 }
 
 // Name notes the newest version of a model. Older ones are ignored.
@@ -104,14 +119,18 @@
 	}
 }
 
-// Need notes the oldest version that a step accepts. Engines below it can do
-// nothing for the step.
-func (p *Planner) Need(model string, version int64) {
+// Need notes a step: the oldest version that it accepts, and its items. Engines
+// below that version can do nothing for it.
+func (p *Planner) Need(model string, version int64, items int) {
 	if version <= p.needed[model] {
 		return
 	}
 	p.needed[model] = version
-	p.slack[model] = max(0, p.named[model]-version)
+	p.slack[model] = max(p.slack[model], p.named[model]-version)
+	if p.items[model] == 0 {
+		p.items[model] = float64(items)
+	}
+	p.items[model] += (float64(items) - p.items[model]) * itemsWeight
 }
 
 // Next returns the orders to give now.
@@ -119,21 +138,46 @@
 	live := usable(engines)
 	p.settle(now, live)
 	carried := p.deal(live)
-	room := p.room(len(live))
 	var orders []Order
-	for _, e := range p.byNeed(live, carried) {
-		if room <= 0 {
+	for room := p.room(len(live)); room > 0; room-- {
+		next, found := p.next(now, carried)
+		if !found {
 			break
 		}
-		order, due := p.order(now, e, carried[e.ID])
+		p.pending[next.Engine] = &pending{order: next, since: now, again: now.Add(retryPause), waiting: true}
+		orders = append(orders, next)
+	}
+	return orders
+}
+
+// next returns the load of the model whose ready engines are fewest for its
+// share.
+func (p *Planner) next(now time.Time, carried map[string][]Engine) (Order, bool) {
+	var best Order
+	found, least := false, 0.0
+	for _, model := range p.models {
+		engine, due := p.due(now, model, carried[model])
 		if !due {
 			continue
 		}
-		p.pending[e.ID] = &pending{order: order, since: now, again: now.Add(retryPause), waiting: true}
-		orders = append(orders, order)
-		room--
+		ready := float64(p.ready(model, carried[model])) / float64(len(carried[model]))
+		if !found || ready < least {
+			best = Order{Engine: engine.ID, Born: engine.Born, Model: model, Version: p.named[model]}
+			found, least = true, ready
+		}
 	}
-	return orders
+	return best, found
+}
+
+// ready counts engines that can serve the newest step, or that load for it.
+func (p *Planner) ready(model string, engines []Engine) int {
+	n := 0
+	for _, e := range engines {
+		if e.Versions[model] >= max(p.needed[model], p.named[model]-1) || p.loads(e, model) {
+			n++
+		}
+	}
+	return n
 }
 
 func usable(engines []Engine) []Engine {
@@ -161,6 +205,9 @@
 		case w.waiting && now.Sub(w.since) > confirmWithin:
 			w.waiting = false
 		}
+		if w, found := p.pending[id]; found && !w.waiting && !now.Before(w.again) {
+			delete(p.pending, id)
+		}
 	}
 }
 
@@ -183,23 +230,26 @@
 	return max(0, p.named[model]-version)
 }
 
-// deal gives each engine the model that it carries.
-func (p *Planner) deal(live []Engine) map[string]string {
-	carried := map[string]string{}
-	if len(p.models) == 0 {
+// deal gives each model its engines: those whose weights for it are newest, so
+// that a deal stays as it is while engines come and go.
+func (p *Planner) deal(live []Engine) map[string][]Engine {
+	carried := map[string][]Engine{}
+	models := len(p.models)
+	if models == 0 {
 		return carried
 	}
+	quota := p.quotas(len(live))
 	type pair struct {
 		engine int
-		model  int
+		model  string
 		gap    int64
 		draw   uint64
 	}
 	var pairs []pair
 	for i, e := range live {
-		for k, model := range p.models {
+		for _, model := range p.models {
 			if _, serves := e.Versions[model]; serves {
-				pairs = append(pairs, pair{i, k, p.gap(e, model), rendezvous.Weight(rendezvous.Key(e.ID), rendezvous.Key(model))})
+				pairs = append(pairs, pair{i, model, p.gap(e, model), rendezvous.Weight(rendezvous.Key(e.ID), rendezvous.Key(model))})
 			}
 		}
 	}
@@ -209,65 +259,63 @@
 		}
 		return pairs[a].draw > pairs[b].draw
 	})
-	quota := quotas(len(live), len(p.models))
+	carries := make([]int, len(live))
 	for _, c := range pairs {
-		id := live[c.engine].ID
-		if _, taken := carried[id]; taken || quota[c.model] == 0 {
+		if carries[c.engine] == stride || len(carried[c.model]) >= quota[c.model] {
 			continue
 		}
-		quota[c.model]--
-		carried[id] = p.models[c.model]
+		carries[c.engine]++
+		carried[c.model] = append(carried[c.model], live[c.engine])
 	}
 	return carried
 }
 
-func quotas(engines, models int) []int {
-	quota := make([]int, models)
-	for i := range quota {
-		quota[i] = engines / models
-		if i < engines%models {
-			quota[i]++
-		}
+// quotas gives each model its number of engines, by its share of the items.
+func (p *Planner) quotas(engines int) map[string]int {
+	total := 0.0
+	for _, model := range p.models {
+		total += max(1, p.items[model])
+	}
+	quota := map[string]int{}
+	for _, model := range p.models {
+		share := carriedShare * float64(engines) * max(1, p.items[model]) / total
+		quota[model] = min(engines, max(fewestEngines, int(math.Round(share))))
 	}
 	return quota
 }
 
-// byNeed puts the engines that can serve no new step first.
-func (p *Planner) byNeed(live []Engine, carried map[string]string) []Engine {
-	sorted := append([]Engine(nil), live...)
-	urgent := func(e Engine) bool { return p.urgent(e, carried[e.ID]) }
-	sort.SliceStable(sorted, func(i, j int) bool { return urgent(sorted[i]) && !urgent(sorted[j]) })
-	return sorted
-}
-
-// urgent tells whether the engine cannot serve the newest step of its model, or
-// will not be able to serve the next one.
-func (p *Planner) urgent(e Engine, model string) bool {
-	return e.Versions[model] < p.needed[model] || p.gap(e, model) >= cohorts
-}
-
-func (p *Planner) order(now time.Time, e Engine, model string) (Order, bool) {
-	if model == "" || p.gap(e, model) == 0 {
-		return Order{}, false
-	}
-	if w, found := p.pending[e.ID]; found && (w.waiting || now.Before(w.again)) {
-		return Order{}, false
+// due returns the engine that should load the model's newest version next: one
+// that can do nothing for the newest step, or else one of the half that follows
+// this version.
+func (p *Planner) due(now time.Time, model string, engines []Engine) (Engine, bool) {
+	newest, behind := 0, int64(0)
+	var chosen Engine
+	found := false
+	for _, e := range engines {
+		gap := p.gap(e, model)
+		if gap == 0 || p.loads(e, model) {
+			newest++
+			continue
+		}
+		if _, busy := p.pending[e.ID]; !busy && (!found || gap > behind) {
+			chosen, found, behind = e, true, gap
+		}
 	}
-	if !p.urgent(e, model) && !p.turn(now, e, model) {
-		return Order{}, false
+	if !found || behind >= stride || chosen.Versions[model] < p.needed[model] {
+		return chosen, found
 	}
-	return Order{Engine: e.ID, Born: e.Born, Model: model, Version: p.named[model]}, true
-}
-
-// turn tells whether an engine that could still serve should load now.
-func (p *Planner) turn(now time.Time, e Engine, model string) bool {
 	if now.Sub(p.since[model]) < settleNamed {
-		return false
+		return Engine{}, false
 	}
-	return p.slack[model] == 0 || cohort(e.ID) == p.named[model]%cohorts
+	// The other half loads at the next version.
+	return chosen, p.slack[model] == 0 || 2*newest < len(engines)
 }
 
-func cohort(id string) int64 { return int64(rendezvous.Key(id) % cohorts) }
+// loads tells whether the engine has an order for the model's newest version.
+func (p *Planner) loads(e Engine, model string) bool {
+	w, found := p.pending[e.ID]
+	return found && w.order.Model == model && w.order.Version == p.named[model]
+}
 
 // Done takes in what became of an order. One without an answer keeps its place
 // among the loads, as it may be carried out yet.
