--- /dev/null
+++ b/internal/batchrun/batchrun_test.go
@@ -0,0 +1,435 @@
+package batchrun_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/rpc"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"siskinloom.example/siskinloom/internal/batchrun"
+	"siskinloom.example/siskinloom/internal/cluster"
+	"siskinloom.example/siskinloom/internal/deployment"
+	"siskinloom.example/siskinloom/internal/directory"
+	"siskinloom.example/siskinloom/internal/dispatch"
+	"siskinloom.example/siskinloom/internal/kv"
+	"siskinloom.example/siskinloom/internal/policy/batch"
+	"siskinloom.example/siskinloom/internal/rpcpool"
+	"siskinloom.example/siskinloom/internal/standin"
+)
+
+const (
+	patience = 20 * time.Second
+	events   = 4 // of each item's text
+)
+
+// engines are endpoints that generate texts of four events and score them.
+type engines struct {
+	mu      sync.Mutex
+	sent    map[string]int // requests by ID
+	resumed []int64        // where runs went on
+	hold    chan struct{}  // closed: events after the second may be sent; nil: no pause
+	breaks  int            // runs that break off after two events, from now on
+}
+
+// Send implements dispatch.Sender.
+func (e *engines) Send(ctx context.Context, _ *deployment.Endpoint, r *dispatch.Request) (*dispatch.Answer, error) {
+	e.mu.Lock()
+	e.sent[r.ID]++
+	hold, broken := e.hold, false
+	if r.Resume > 0 {
+		e.resumed = append(e.resumed, r.Resume)
+	}
+	if e.breaks > 0 && !strings.HasPrefix(r.Target, "/score/") {
+		e.breaks--
+		broken = true
+	}
+	e.mu.Unlock()
+	answer := &dispatch.Answer{Status: http.StatusOK, Signed: true, Seal: "seal-" + r.ID, Version: 5}
+	if strings.HasPrefix(r.Target, "/score/") {
+		answer.Body = io.NopCloser(strings.NewReader("scored"))
+		return answer, nil
+	}
+	read, write := io.Pipe()
+	go stream(ctx, write, r.Resume, hold, broken)
+	answer.Body = read
+	return answer, nil
+}
+
+func stream(ctx context.Context, w *io.PipeWriter, after int64, hold chan struct{}, broken bool) {
+	for id := after + 1; id <= events; id++ {
+		if id > 2 && broken {
+			_ = w.CloseWithError(io.ErrUnexpectedEOF)
+			return
+		}
+		if id > 2 && hold != nil {
+			select {
+			case <-hold:
+			case <-ctx.Done():
+				_ = w.CloseWithError(ctx.Err())
+				return
+			}
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: e%d\n\n", id, id); err != nil {
+			return
+		}
+	}
+	_ = w.Close()
+}
+
+func (e *engines) count(id string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.sent[id]
+}
+
+func (e *engines) total() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for _, c := range e.sent {
+		n += c
+	}
+	return n
+}
+
+func silent() *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
+// process is one process of the system.
+type process struct {
+	name     string
+	store    kv.Shared
+	owner    *batchrun.Owner
+	desk     *batchrun.Desk
+	mover    *batchrun.Mover
+	members  *cluster.Members
+	register *cluster.Registrar
+	listener net.Listener
+	stop     context.CancelFunc
+}
+
+func newProcess(name string, store kv.Shared, sender dispatch.Sender) *process {
+	d := directory.New("", nil)
+	d.Declare(&deployment.Declaration{Version: 1, Routes: []deployment.Route{
+		{Name: "items", Host: "h", Prefix: "/items/", Kind: deployment.Rollout, MaxAttempts: 3, Backends: []deployment.Backend{{Service: "llm", Weight: 1}}},
+		{Name: "score", Host: "h", Prefix: "/score/", Kind: deployment.Idempotent, MaxAttempts: 3, Backends: []deployment.Backend{{Service: "app", Weight: 1}}},
+	}})
+	for i := range 2 {
+		d.Put(deployment.Endpoint{ID: fmt.Sprintf("llm%d", i), Service: "llm", Address: "x:1", Slots: 8, Versions: map[string]int64{"m": 5}})
+		d.Put(deployment.Endpoint{ID: fmt.Sprintf("app%d", i), Service: "app", Address: "x:2", Slots: 8})
+	}
+	p := &process{name: name, store: store, members: cluster.NewMembers()}
+	p.owner = &batchrun.Owner{Name: name, Store: store, Directory: d, Sender: sender, Log: silent(), Keep: time.Minute, Registry: metrics.NewRegistry()}
+	p.owner.Init()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	p.listener = listener
+	server := rpc.NewServer()
+	Expect(p.owner.Register(server)).To(Succeed())
+	go accept(server, listener)
+	p.register = cluster.NewRegistrar(store, cluster.Member{Name: name, Address: listener.Addr().String(), Worker: true}, time.Hour, p.members, silent())
+	p.desk = &batchrun.Desk{Store: store, Members: p.members, Peers: rpcpool.New(nil), Local: p.owner, Log: silent(), ValueBytes: 64}
+	p.mover = &batchrun.Mover{Self: name, Store: store, Members: p.members, Log: silent(), Unsettled: func() bool { return false }}
+	return p
+}
+
+func accept(server *rpc.Server, listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go server.ServeConn(conn)
+	}
+}
+
+// run starts the process; stop kills it.
+func (p *process) run() *process {
+	ctx, cancel := context.WithCancel(context.Background())
+	var done sync.WaitGroup
+	for _, part := range []func(context.Context) error{p.owner.Run, p.register.Run, (&cluster.Follower{Store: p.store, Topic: p.register.Topic()}).Run} {
+		done.Go(func() {
+			defer GinkgoRecover()
+			Expect(part(ctx)).To(Succeed())
+		})
+	}
+	var once sync.Once
+	p.stop = func() {
+		once.Do(func() {
+			cancel()
+			_ = p.listener.Close()
+			done.Wait()
+		})
+	}
+	DeferCleanup(p.stop)
+	return p
+}
+
+func spec(id string, items int) *batch.Spec {
+	now := time.Now()
+	s := &batch.Spec{ID: id, Host: "h", Prefix: "/items/", Model: "m", MinVersion: 5, MaxAttempts: 3, Submitted: now, Due: now.Add(time.Minute), Expires: now.Add(time.Hour)}
+	for i := range items {
+		item := fmt.Sprintf("i%d", i)
+		s.Items = append(s.Items, batch.Item{ID: item, Path: "/items/x", Body: bytes.Repeat([]byte{byte(i)}, 40), Group: "g",
+			Scorer: &batch.Scorer{ID: "s" + item, Host: "h", Path: "/score/x"}})
+	}
+	return s
+}
+
+func readAll(d *batchrun.Desk, id string) ([]batch.Result, error) {
+	var all []batch.Result
+	for {
+		reading, err := d.Results(context.Background(), id, len(all), 0)
+		if err != nil {
+			return all, err
+		}
+		all = append(all, reading.Results...)
+		if len(all) >= reading.Total || len(reading.Results) == 0 {
+			return all, nil
+		}
+	}
+}
+
+func results(p *process, id string) func() int {
+	return func() int {
+		all, err := readAll(p.desk, id)
+		if err != nil {
+			return -1
+		}
+		return len(all)
+	}
+}
+
+func checkResults(all []batch.Result) {
+	seen := map[string]bool{}
+	for _, r := range all {
+		ExpectWithOffset(1, seen[r.Item]).To(BeFalse(), "%s twice", r.Item)
+		seen[r.Item] = true
+		ExpectWithOffset(1, r.State).To(Equal(batch.Completed))
+		ExpectWithOffset(1, string(r.Output)).To(Equal("e1\ne2\ne3\ne4"))
+		ExpectWithOffset(1, r.Versions).To(Equal([]int64{5}))
+		ExpectWithOffset(1, r.Score).To(Equal("seal-s" + r.Item))
+	}
+}
+
+var _ = Describe("a batch job", func() {
+	var store *standin.Shared
+	var llm *engines
+	var a, b *process
+
+	listed := func(n int) {
+		EventuallyWithOffset(1, func() int { return len(a.members.Live()) }).WithTimeout(patience).Should(Equal(n))
+	}
+
+	// owned returns the process that owns the job, and the other one.
+	owned := func(id string) (owner, other *process) {
+		EventuallyWithOffset(1, func() bool {
+			for _, p := range []*process{a, b} {
+				if _, found := p.owner.Jobs()[id]; found {
+					owner = p
+					return true
+				}
+			}
+			return false
+		}).WithTimeout(patience).Should(BeTrue())
+		if owner == a {
+			return a, b
+		}
+		return b, a
+	}
+
+	BeforeEach(func() {
+		store = standin.NewShared()
+		llm = &engines{sent: map[string]int{}}
+		a = newProcess("a", store, llm).run()
+		b = newProcess("b", store, llm).run()
+		listed(2)
+	})
+
+	It("is read whole at any process, with the texts, versions and scores of its items", func() {
+		Expect(a.desk.Submit(context.Background(), spec("j", 5))).To(Succeed())
+		for _, p := range []*process{a, b} {
+			Eventually(results(p, "j")).WithTimeout(patience).Should(Equal(5))
+			all, err := readAll(p.desk, "j")
+			Expect(err).NotTo(HaveOccurred())
+			checkResults(all)
+		}
+	})
+
+	It("is accepted once when the store's answer is lost, and when it comes again", func() {
+		// The write took effect and its answer did not come. The submitter must not be
+		// told that nothing runs; the same job sent again elsewhere is the same job.
+		store.LoseAnswers(1)
+		Expect(a.desk.Submit(context.Background(), spec("j", 3))).To(Succeed())
+		Expect(b.desk.Submit(context.Background(), spec("j", 3))).To(Succeed())
+		Eventually(results(b, "j")).WithTimeout(patience).Should(Equal(3))
+		Expect(llm.count("i0")).To(Equal(1))
+	})
+
+	It("is refused as not run only if that is certain", func() {
+		store.SetDown(true)
+		Expect(a.desk.Submit(context.Background(), spec("j", 3))).To(MatchError(batchrun.ErrNotRun))
+		store.SetDown(false)
+		Consistently(llm.total).Should(BeZero())
+		_, err := readAll(a.desk, "j")
+		Expect(err).To(MatchError(batchrun.ErrNoJob))
+
+		silenced := &mute{Shared: store}
+		c := newProcess("c", silenced, llm)
+		c.members = a.members
+		c.desk.Members = a.members
+		Expect(c.desk.Submit(context.Background(), spec("k", 3))).To(MatchError(batchrun.ErrOutcomeUnknown))
+	})
+
+	It("goes on at another process when its owner is gone, with the results that were read", func() {
+		// The owner is killed with two of four results listed. Its successor makes the
+		// others; what a trainer read at a position stays there.
+		llm.hold = make(chan struct{})
+		Expect(a.desk.Submit(context.Background(), spec("j", 4))).To(Succeed())
+		owner, other := owned("j")
+		close(llm.hold)
+		Eventually(results(other, "j")).WithTimeout(patience).Should(BeNumerically(">", 0))
+		before, err := readAll(other.desk, "j")
+		Expect(err).NotTo(HaveOccurred())
+		owner.stop()
+		store.Revoke("live/members/" + owner.name)
+		Eventually(func() bool { _, found := other.members.Get(owner.name); return found }).WithTimeout(patience).Should(BeFalse())
+		other.mover.MemberGone(context.Background(), owner.name)
+		Eventually(results(other, "j")).WithTimeout(patience).Should(Equal(4))
+		after, err := readAll(other.desk, "j")
+		Expect(err).NotTo(HaveOccurred())
+		checkResults(after)
+		Expect(after[:len(before)]).To(Equal(before))
+	})
+
+	It("goes on at the same process after a restart, and a late write of the dead one is refused", func() {
+		// The process is killed with a write under way and starts again under its
+		// name. The write arrives seconds later; if it took effect, a position would
+		// hold something else than what the new process lists there.
+		llm.hold = make(chan struct{})
+		Expect(a.desk.Submit(context.Background(), spec("j", 2))).To(Succeed())
+		owner, other := owned("j")
+		mark, err := store.Read(context.Background(), "todo/"+owner.name+"/j")
+		Expect(err).NotTo(HaveOccurred())
+		owner.stop()
+		again := newProcess(owner.name, store, llm).run()
+		Eventually(func() bool { return again.owner.Jobs()["j"] > mark.Revision }).WithTimeout(patience).Should(BeTrue())
+		late, err := store.Commit(context.Background(), kv.Transaction{
+			Expect: []kv.Expectation{{Key: "todo/" + owner.name + "/j", Revision: mark.Revision}, {Key: "done/j/000000"}},
+			Puts:   []kv.Put{{Key: "done/j/000000", Value: []byte("of the dead process")}},
+		})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(late.Done).To(BeFalse())
+		close(llm.hold)
+		Eventually(results(other, "j")).WithTimeout(patience).Should(Equal(2))
+	})
+
+	It("resumes a broken run after its last event", func() {
+		llm.breaks = 1
+		Expect(a.desk.Submit(context.Background(), spec("j", 1))).To(Succeed())
+		Eventually(results(a, "j")).WithTimeout(patience).Should(Equal(1))
+		all, err := readAll(a.desk, "j")
+		Expect(err).NotTo(HaveOccurred())
+		checkResults(all)
+		Expect(llm.resumed).To(Equal([]int64{2}))
+	})
+
+	It("stops when it is ended, and its texts go on in the next job", func() {
+		llm.hold = make(chan struct{})
+		Expect(a.desk.Submit(context.Background(), spec("j", 2))).To(Succeed())
+		owned("j")
+		Eventually(llm.total).WithTimeout(patience).Should(Equal(2))
+		Expect(b.desk.End(context.Background(), "j")).To(Succeed())
+		Expect(a.desk.End(context.Background(), "j")).To(Succeed(), "an end may be repeated")
+		Eventually(func() int { return len(a.owner.Jobs()) + len(b.owner.Jobs()) }).WithTimeout(patience).Should(BeZero())
+		Consistently(llm.total).Should(Equal(2))
+		all, err := readAll(a.desk, "j")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(all).To(BeEmpty())
+		close(llm.hold)
+		Expect(a.desk.Submit(context.Background(), spec("k", 2))).To(Succeed())
+		Eventually(results(a, "k")).WithTimeout(patience).Should(Equal(2))
+		all, err = readAll(b.desk, "k")
+		Expect(err).NotTo(HaveOccurred())
+		checkResults(all)
+		Expect(llm.resumed).To(Equal([]int64{2, 2}))
+	})
+
+	It("is read at its owner while the store is away, and goes on", func() {
+		// The store is down for seconds. Trainers still read what is durable, runs go
+		// on, and the results decided meanwhile are listed once the store is back.
+		llm.hold = make(chan struct{})
+		Expect(a.desk.Submit(context.Background(), spec("j", 2))).To(Succeed())
+		_, other := owned("j")
+		Expect(results(other, "j")()).To(Equal(0))
+		store.SetDown(true)
+		close(llm.hold)
+		Consistently(results(other, "j")).Should(BeZero(), "nothing is shown that is not durable")
+		store.SetDown(false)
+		Eventually(results(other, "j")).WithTimeout(patience).Should(Equal(2))
+	})
+
+	It("is never denied by guess", func() {
+		// Neither its owner nor the store answers a process that never saw the job.
+		Expect(a.desk.Submit(context.Background(), spec("j", 1))).To(Succeed())
+		owner, other := owned("j")
+		fresh := newProcess("c", store, llm)
+		owner.stop()
+		other.stop()
+		store.SetDown(true)
+		_, err := readAll(fresh.desk, "j")
+		Expect(err).To(MatchError(batchrun.ErrCannotTell))
+		store.SetDown(false)
+		_, err = readAll(fresh.desk, "j")
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	It("gives the body of an item that is not listed, from the store too", func() {
+		llm.hold = make(chan struct{})
+		Expect(a.desk.Submit(context.Background(), spec("j", 2))).To(Succeed())
+		owner, other := owned("j")
+		body, err := other.desk.Body(context.Background(), "j", "i1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(Equal(bytes.Repeat([]byte{1}, 40)))
+		owner.stop()
+		body, err = other.desk.Body(context.Background(), "j", "i1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(Equal(bytes.Repeat([]byte{1}, 40)))
+		_, err = other.desk.Body(context.Background(), "j", "nobody")
+		Expect(err).To(MatchError(batchrun.ErrNoJob))
+	})
+
+	It("is handed on by an owner that stops", func() {
+		llm.hold = make(chan struct{})
+		Expect(a.desk.Submit(context.Background(), spec("j", 2))).To(Succeed())
+		owner, other := owned("j")
+		Expect(owner.mover.MoveAll(context.Background(), owner.name)).To(Succeed())
+		Eventually(func() int { return len(other.owner.Jobs()) }).WithTimeout(patience).Should(Equal(1))
+		Eventually(func() int { return len(owner.owner.Jobs()) }).WithTimeout(patience).Should(BeZero())
+		close(llm.hold)
+		Eventually(results(owner, "j")).WithTimeout(patience).Should(Equal(2))
+	})
+})
+
+// mute is a store whose answers to commits are always lost.
+type mute struct{ *standin.Shared }
+
+func (m *mute) Commit(context.Context, kv.Transaction) (kv.Committed, error) {
+	return kv.Committed{}, kv.ErrUnknown
+}
+
+var _ dispatch.Sender = (*engines)(nil)
--- a/internal/batchrun/owner.go
+++ b/internal/batchrun/owner.go
@@ -112,7 +112,10 @@
 	var listed atomic.Bool
 	marks := &cluster.Follower{Store: o.Store, Failed: o.Lost, Recovered: o.Back, Wait: marksWait, Topic: &cluster.Topic{
 		Prefix:  todoPrefix(o.Name),
-		Changed: func(r kv.Record) { group.Go(func() error { o.marked(ctx, r, listed.Load()); return nil }) },
+		Changed: func(r kv.Record) {
+			afterStart := listed.Load() // of the record, not of the goroutine that takes it in
+			group.Go(func() error { o.marked(ctx, r, afterStart); return nil })
+		},
 		Deleted: func(key string, revision int64) { o.drop(jobOfTodo(key), revision) },
 		Synced:  func() { listed.Store(true) },
 	}}
--- /dev/null
+++ b/internal/cluster/cluster_test.go
@@ -0,0 +1,417 @@
+package cluster_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"siskinloom.example/siskinloom/internal/cluster"
+	"siskinloom.example/siskinloom/internal/kv"
+	"siskinloom.example/siskinloom/internal/rpcpool"
+	"siskinloom.example/siskinloom/internal/standin"
+)
+
+// patience is how long a spec waits for what must come; nothing passes for
+// being fast.
+const patience = 20 * time.Second
+
+func silent() *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
+// view collects what a topic told.
+type view struct {
+	mu   sync.Mutex
+	keys map[string]string
+}
+
+func (v *view) topic(prefix string) *cluster.Topic {
+	v.keys = map[string]string{}
+	return &cluster.Topic{Prefix: prefix,
+		Changed: func(r kv.Record) {
+			v.mu.Lock()
+			defer v.mu.Unlock()
+			v.keys[r.Key] = string(r.Value)
+		},
+		Deleted: func(key string, _ int64) {
+			v.mu.Lock()
+			defer v.mu.Unlock()
+			delete(v.keys, key)
+		},
+	}
+}
+
+func (v *view) now() map[string]string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	copied := map[string]string{}
+	for k, value := range v.keys {
+		copied[k] = value
+	}
+	return copied
+}
+
+func put(s *standin.Shared, key, value string) {
+	_, err := s.Commit(context.Background(), kv.Transaction{Puts: []kv.Put{{Key: key, Value: []byte(value)}}})
+	ExpectWithOffset(1, err).NotTo(HaveOccurred())
+}
+
+func start(run func(context.Context) error) context.CancelFunc {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		defer GinkgoRecover()
+		Expect(run(ctx)).To(Succeed())
+	}()
+	stop := func() {
+		cancel()
+		<-done
+	}
+	DeferCleanup(stop)
+	return stop
+}
+
+var _ = Describe("following the store", func() {
+	It("tells a listing of several pages, then changes and removals", func() {
+		store := standin.NewShared()
+		for _, k := range []string{"p/a", "p/b", "p/c", "p/d", "q/x"} {
+			put(store, k, "1")
+		}
+		v := &view{}
+		start((&cluster.Follower{Store: store, Topic: v.topic("p/")}).Run)
+		Eventually(v.now).WithTimeout(patience).Should(HaveLen(4))
+		put(store, "p/e", "2")
+		store.Revoke("p/a")
+		Eventually(v.now).WithTimeout(patience).Should(Equal(map[string]string{"p/b": "1", "p/c": "1", "p/d": "1", "p/e": "2"}))
+	})
+
+	It("finds what a deaf watch missed before history was dropped", func() {
+		// The store does not tell waiting watches of a change and drops its history.
+		// No later change comes that would have the watch answered; the declaration
+		// that was written must be in force all the same.
+		store := standin.NewShared()
+		put(store, "p/a", "1")
+		put(store, "p/gone", "1")
+		v := &view{}
+		start((&cluster.Follower{Store: store, Topic: v.topic("p/")}).Run)
+		Eventually(v.now).WithTimeout(patience).Should(HaveLen(2))
+		Eventually(func() int { return store.Count("watch") }).WithTimeout(patience).Should(BeNumerically(">", 0))
+		store.SetDeaf(true)
+		put(store, "p/a", "2")
+		store.Revoke("p/gone")
+		store.DropHistory()
+		Eventually(v.now).WithTimeout(patience).Should(Equal(map[string]string{"p/a": "2"}))
+	})
+
+	It("goes on after an outage, with what changed meanwhile", func() {
+		store := standin.NewShared()
+		put(store, "p/a", "1")
+		v := &view{}
+		var mu sync.Mutex
+		var states []string
+		note := func(s string) {
+			mu.Lock()
+			defer mu.Unlock()
+			if len(states) == 0 || states[len(states)-1] != s {
+				states = append(states, s)
+			}
+		}
+		start((&cluster.Follower{Store: store, Topic: v.topic("p/"), Failed: func(error) { note("lost") }, Recovered: func() { note("back") }}).Run)
+		Eventually(v.now).WithTimeout(patience).Should(HaveLen(1))
+		store.SetDown(true)
+		Eventually(func() int { mu.Lock(); defer mu.Unlock(); return len(states) }).WithTimeout(patience).Should(Equal(1))
+		store.SetDown(false)
+		put(store, "p/a", "2")
+		Eventually(v.now).WithTimeout(patience).Should(Equal(map[string]string{"p/a": "2"}))
+		mu.Lock()
+		defer mu.Unlock()
+		Expect(states).To(Equal([]string{"lost", "back"}))
+	})
+})
+
+// worker is a process that follows the store and passes news on.
+type worker struct {
+	address string
+	relay   *cluster.Relay
+	stop    context.CancelFunc
+}
+
+func newWorker(store kv.Shared, boot int64) *worker {
+	w := &worker{relay: cluster.NewRelay(boot)}
+	w.relay.Carry("p/", 0)
+	topic := &cluster.Topic{Prefix: "p/",
+		Changed: func(r kv.Record) { w.relay.Put("p/", kv.Change{Record: r}) },
+		Deleted: func(key string, revision int64) {
+			w.relay.Put("p/", kv.Change{Record: kv.Record{Key: key, Revision: revision}, Deleted: true})
+		}}
+	server := rpc.NewServer()
+	Expect(w.relay.Register(server)).To(Succeed())
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	w.address = listener.Addr().String()
+	go server.Accept(listener)
+	f := &cluster.Follower{Store: store, Topic: topic, Heard: func(asOf int64) { w.relay.Heard("p/", asOf) }}
+	stop := start(f.Run)
+	w.stop = func() {
+		stop()
+		_ = listener.Close()
+	}
+	return w
+}
+
+var _ = Describe("news from workers", func() {
+	var store *standin.Shared
+	var members *cluster.Members
+	var v *view
+	var mu sync.Mutex
+	var sources []string
+
+	subscribe := func(own kv.Shared, workers ...*worker) {
+		registrar := cluster.NewRegistrar(store, cluster.Member{Name: "self"}, time.Hour, members, silent())
+		start((&cluster.Follower{Store: store, Topic: registrar.Topic()}).Run)
+		for i, w := range workers {
+			name := string(rune('a' + i))
+			r := cluster.NewRegistrar(store, cluster.Member{Name: name, Address: w.address, Worker: true}, time.Hour, cluster.NewMembers(), silent())
+			start(r.Run)
+		}
+		Eventually(func() int { return len(members.Live()) }).WithTimeout(patience).Should(Equal(len(workers)))
+		s := &cluster.Subscriber{
+			Store: own, Topics: []*cluster.Topic{v.topic("p/")}, Members: members, Peers: rpcpool.New(nil), Self: cluster.Member{Name: "self"},
+			Source: func(name string, _ error) {
+				mu.Lock()
+				defer mu.Unlock()
+				sources = append(sources, name)
+			},
+		}
+		start(s.Run)
+	}
+
+	BeforeEach(func() {
+		store, members, v, sources = standin.NewShared(), cluster.NewMembers(), &view{}, nil
+		put(store, "p/a", "1")
+	})
+
+	It("reach an entry without calls of its own to the store", func() {
+		w := newWorker(store, 1)
+		own := &counting{Shared: store}
+		subscribe(own, w)
+		Eventually(v.now).WithTimeout(patience).Should(HaveKey("p/a"))
+		Eventually(func() bool { return w.relay != nil && own.settled() }).WithTimeout(patience).Should(BeTrue())
+		before := own.count()
+		put(store, "p/b", "2")
+		store.Revoke("p/a")
+		Eventually(v.now).WithTimeout(patience).Should(Equal(map[string]string{"p/b": "2"}))
+		Expect(own.count()).To(Equal(before))
+	})
+
+	It("come from the store while the only worker is cut off from it", func() {
+		// The worker still answers, but has not heard from the store for seconds. What
+		// it knows may be an old declaration, which the entry must not stay with.
+		cut := &cuttable{Shared: store}
+		subscribe(store, newWorker(cut, 1))
+		Eventually(v.now).WithTimeout(patience).Should(HaveKey("p/a"))
+		cut.cut(true)
+		put(store, "p/a", "2")
+		Eventually(v.now).WithTimeout(patience).Should(Equal(map[string]string{"p/a": "2"}))
+	})
+
+	It("never go back when a worker that lags behind takes over", func() {
+		// The first worker told of a removal and died. The second one is cut off from
+		// the store and still lists the key; the entry must not take it in again.
+		cut := &cuttable{Shared: store}
+		lagging := newWorker(cut, 2)
+		first := newWorker(store, 1)
+		subscribe(store, first, lagging)
+		Eventually(v.now).WithTimeout(patience).Should(HaveKey("p/a"))
+		cut.cut(true)
+		store.Revoke("p/a")
+		Eventually(v.now).WithTimeout(patience).Should(BeEmpty())
+		first.stop()
+		Consistently(v.now).WithTimeout(2 * time.Second).Should(BeEmpty())
+	})
+})
+
+// counting counts the calls of one process.
+type counting struct {
+	kv.Shared
+	mu    sync.Mutex
+	calls int
+	last  time.Time
+}
+
+func (c *counting) note() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls++
+	c.last = time.Now()
+}
+
+func (c *counting) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.calls
+}
+
+// settled tells that no call came for longer than a watch waits.
+func (c *counting) settled() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Since(c.last) > 3*time.Second
+}
+
+func (c *counting) ReadPage(ctx context.Context, prefix, after string) (kv.Page, error) {
+	c.note()
+	return c.Shared.ReadPage(ctx, prefix, after)
+}
+
+func (c *counting) Await(ctx context.Context, prefix string, after int64, wait time.Duration) (kv.Changes, error) {
+	c.note()
+	return c.Shared.Await(ctx, prefix, after, wait)
+}
+
+// cuttable is a process's path to the store, which can be cut.
+type cuttable struct {
+	kv.Shared
+	mu  sync.Mutex
+	off bool
+}
+
+func (c *cuttable) cut(off bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.off = off
+}
+
+func (c *cuttable) isCut() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.off
+}
+
+func (c *cuttable) ReadPage(ctx context.Context, prefix, after string) (kv.Page, error) {
+	if c.isCut() {
+		return kv.Page{}, kv.ErrUnavailable
+	}
+	return c.Shared.ReadPage(ctx, prefix, after)
+}
+
+func (c *cuttable) Await(ctx context.Context, prefix string, after int64, wait time.Duration) (kv.Changes, error) {
+	changes, err := c.Shared.Await(ctx, prefix, after, wait)
+	if c.isCut() {
+		return kv.Changes{}, kv.ErrUnavailable
+	}
+	return changes, err
+}
+
+var _ = Describe("registration", func() {
+	It("is made anew when the store took the key away without a word", func() {
+		// Lease and renewals look fine; only the key is gone. Others would move this
+		// process's jobs and never give it new ones.
+		store := standin.NewShared()
+		members := cluster.NewMembers()
+		r := cluster.NewRegistrar(store, cluster.Member{Name: "self", Worker: true}, time.Hour, members, silent())
+		start((&cluster.Follower{Store: store, Topic: r.Topic()}).Run)
+		start(r.Run)
+		listed := func() bool { _, found := members.Get("self"); return found }
+		Eventually(listed).WithTimeout(patience).Should(BeTrue())
+		store.Revoke("live/members/self")
+		Eventually(func() int { return store.Count("lease") }).WithTimeout(patience).Should(Equal(2))
+		Eventually(listed).WithTimeout(patience).Should(BeTrue())
+	})
+
+	It("gives work to workers that stay, and to others only if there is none", func() {
+		store := standin.NewShared()
+		members := cluster.NewMembers()
+		r := cluster.NewRegistrar(store, cluster.Member{Name: "w", Worker: true}, time.Hour, members, silent())
+		entry := cluster.NewRegistrar(store, cluster.Member{Name: "entry"}, time.Hour, cluster.NewMembers(), silent())
+		start((&cluster.Follower{Store: store, Topic: r.Topic()}).Run)
+		start(r.Run)
+		start(entry.Run)
+		names := func() []string {
+			var list []string
+			for _, m := range members.Owners() {
+				list = append(list, m.Name)
+			}
+			return list
+		}
+		Eventually(func() int { return len(members.Live()) }).WithTimeout(patience).Should(Equal(2))
+		Expect(names()).To(Equal([]string{"w"}))
+		Expect(r.Leave(context.Background())).To(Succeed())
+		Eventually(names).WithTimeout(patience).Should(Equal([]string{"entry"}))
+	})
+})
+
+var _ = Describe("a duty", func() {
+	lead := func(store kv.Shared, name string, apart time.Duration) *cluster.Leader {
+		l := cluster.NewLeader(store, "live/duty/x", name, apart, 0, func() bool { return true }, func(bool, int64) {})
+		start(l.Run)
+		return l
+	}
+	acts := func(l *cluster.Leader) func() bool {
+		return func() bool { _, ok := l.Term(time.Now()); return ok }
+	}
+
+	It("has one holder, whose successor gets a higher term", func() {
+		store := standin.NewShared()
+		first := lead(store, "a", 0)
+		Eventually(acts(first)).WithTimeout(patience).Should(BeTrue())
+		second := lead(store, "b", 0)
+		Consistently(acts(second)).Should(BeFalse())
+		before, _ := first.Term(time.Now())
+		Expect(first.End(context.Background())).To(Succeed())
+		second.Vacant()
+		Eventually(acts(second)).WithTimeout(patience).Should(BeTrue())
+		after, _ := second.Term(time.Now())
+		Expect(after).To(BeNumerically(">", before))
+	})
+
+	It("is taken over at once by a new process on the same machine", func() {
+		// The process was killed and is back after a second. The lease of its
+		// predecessor stands for some more; waiting it out, and the time between two
+		// holders after it, left engines without new weights for 6 s.
+		store := standin.NewShared()
+		_, _, err := store.GrantLease(context.Background(), time.Hour)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = store.Commit(context.Background(), kv.Transaction{Puts: []kv.Put{{Key: "live/duty/x", Value: []byte("a"), Lease: 1}}})
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(acts(lead(store, "a", time.Hour))).WithTimeout(patience).Should(BeTrue())
+	})
+
+	It("is not acted on by a holder whose key the store took away", func() {
+		store := standin.NewShared()
+		l := lead(store, "a", 0)
+		Eventually(acts(l)).WithTimeout(patience).Should(BeTrue())
+		term, _ := l.Term(time.Now())
+		confirmed, ok := l.Confirm(context.Background())
+		Expect(ok).To(BeTrue())
+		Expect(confirmed).To(Equal(term))
+		store.Revoke("live/duty/x")
+		_, ok = l.Confirm(context.Background())
+		Expect(ok).To(BeFalse())
+	})
+
+	It("is not acted on while the store does not confirm it", func() {
+		store := standin.NewShared()
+		l := lead(store, "a", 0)
+		Eventually(acts(l)).WithTimeout(patience).Should(BeTrue())
+		store.SetDown(true)
+		_, ok := l.Confirm(context.Background())
+		Expect(ok).To(BeFalse())
+		Eventually(acts(l)).WithTimeout(patience).Should(BeFalse())
+	})
+
+	It("waits before the first act when another holder may just have acted", func() {
+		store := standin.NewShared()
+		Consistently(acts(lead(store, "b", time.Hour))).WithTimeout(time.Second).Should(BeFalse())
+	})
+})
--- /dev/null
+++ b/internal/logout/logout_test.go
@@ -0,0 +1,70 @@
+package logout_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"siskinloom.example/siskinloom/internal/logout"
+)
+
+// kept is an output that can be read while it is written.
+type kept struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (k *kept) Write(p []byte) (int, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.b.Write(p)
+}
+
+func (k *kept) String() string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.b.String()
+}
+
+var _ = Describe("the log writer", func() {
+	It("writes lines in order", func() {
+		out := &kept{}
+		w := logout.New(out)
+		for i := range 3 {
+			fmt.Fprintln(w, i)
+		}
+		Eventually(out.String).Should(Equal("0\n1\n2\n"))
+	})
+
+	It("never waits for a reader that has stalled", func() {
+		// Whoever reads standard output has stopped reading. Every request logs lines;
+		// none of them may wait, and the memory of lines stays bounded.
+		stalled, unread := io.Pipe()
+		defer stalled.Close()
+		w := logout.New(unread)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			for range 100_000 {
+				fmt.Fprintln(w, "line")
+			}
+		}()
+		Eventually(done).WithTimeout(time.Minute).Should(BeClosed())
+		Expect(w.Dropped()).To(BeNumerically(">", 0))
+	})
+
+	It("bounds a burst and says how many lines it dropped", func() {
+		out := &kept{}
+		w := logout.New(out)
+		for range 5000 {
+			fmt.Fprintln(w, "line")
+		}
+		Eventually(out.String).WithTimeout(time.Minute).Should(ContainSubstring("log lines dropped"))
+		Expect(bytes.Count([]byte(out.String()), []byte("line\n"))).To(BeNumerically("<=", 800))
+	})
+})
--- /dev/null
+++ b/internal/policy/batch/batch_test.go
@@ -0,0 +1,319 @@
+package batch_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"siskinloom.example/siskinloom/internal/policy/batch"
+)
+
+var start = time.Unix(1000, 0)
+
+func spec(items int) *batch.Spec {
+	s := &batch.Spec{ID: "job", Model: "m", MinVersion: 3, MaxAttempts: 2, Submitted: start, Due: start.Add(8 * time.Second), Expires: start.Add(40 * time.Second)}
+	for i := range items {
+		s.Items = append(s.Items, batch.Item{ID: fmt.Sprintf("i%d", i), Path: "/p", Body: []byte{byte(i)}, Group: fmt.Sprintf("g%d", i/2)})
+	}
+	return s
+}
+
+func begin(j *batch.Job, now time.Time) batch.Start {
+	s, ok := j.NextStart(now)
+	ExpectWithOffset(1, ok).To(BeTrue())
+	return s
+}
+
+func write(j *batch.Job, i int, from, to, version int64) {
+	for id := from; id <= to; id++ {
+		ExpectWithOffset(1, j.Event(i, id, []byte(fmt.Sprintf("e%d", id)), version)).To(BeTrue())
+	}
+}
+
+var _ = Describe("a batch job", func() {
+	It("joins the events of broken and resumed runs into one text with all their versions", func() {
+		// An engine resets the stream after two events. The item goes on at another
+		// engine after the second event, under newer weights; the trainer must see
+		// each event once and both versions.
+		j := batch.NewJob(spec(1), nil)
+		first := begin(j, start)
+		write(j, first.Index, 1, 2, 3)
+		j.Ended(start, first.Index, batch.RunBroke, "e1")
+		again := begin(j, start.Add(time.Second))
+		Expect(again).To(Equal(batch.Start{Index: 0, After: 2, Last: "e1"}))
+		write(j, again.Index, 3, 4, 4)
+		j.Ended(start, again.Index, batch.RunComplete, "e2")
+		_, results := j.Undurable()
+		Expect(results).To(Equal([]batch.Result{{Item: "i0", State: batch.Completed, Output: []byte("e1\ne2\ne3\ne4"), Versions: []int64{3, 4}}}))
+	})
+
+	It("takes no event out of order, twice, or of weights that are too old", func() {
+		j := batch.NewJob(spec(1), nil)
+		s := begin(j, start)
+		write(j, s.Index, 1, 1, 3)
+		Expect(j.Event(s.Index, 3, nil, 3)).To(BeFalse())
+		Expect(j.Event(s.Index, 1, nil, 3)).To(BeFalse())
+		Expect(j.Event(s.Index, 2, nil, 2)).To(BeFalse())
+		Expect(j.Event(s.Index, 2, nil, 3)).To(BeTrue())
+	})
+
+	It("keeps one version for a text where the route asks for it", func() {
+		one := spec(1)
+		one.SingleVersion = true
+		j := batch.NewJob(one, nil)
+		s := begin(j, start)
+		write(j, s.Index, 1, 1, 3)
+		Expect(j.Event(s.Index, 2, nil, 4)).To(BeFalse())
+		j.Ended(start, s.Index, batch.RunBroke, "e1")
+		Expect(begin(j, start.Add(time.Second)).Single).To(Equal(int64(3)))
+		j.Ended(start, s.Index, batch.RunOffVersion, "e2")
+		Expect(begin(j, start.Add(2*time.Second))).To(Equal(batch.Start{Index: 0, Last: "e2"}), "no engine has that version any more: anew")
+	})
+
+	It("gives an item up after the failures that its route allows, and not for refusals or breaks", func() {
+		j := batch.NewJob(spec(1), nil)
+		now := start
+		for range 5 {
+			s := begin(j, now)
+			j.Ended(now, s.Index, batch.RunRefused, "e1")
+			now = now.Add(time.Second)
+			s = begin(j, now)
+			j.Ended(now, s.Index, batch.RunBroke, "e1")
+			now = now.Add(time.Second)
+		}
+		for range 2 {
+			s := begin(j, now)
+			j.Ended(now, s.Index, batch.RunFailed, "e1")
+		}
+		_, results := j.Undurable()
+		Expect(results).To(Equal([]batch.Result{{Item: "i0", State: batch.Aborted}}))
+	})
+
+	It("gives an impossible item up at once, and every item at the end of its time", func() {
+		j := batch.NewJob(spec(3), nil)
+		j.Ended(start, begin(j, start).Index, batch.RunImpossible, "e1")
+		_, results := j.Undurable()
+		Expect(results).To(HaveLen(1))
+		Expect(j.Expire(start.Add(39 * time.Second))).To(BeFalse())
+		Expect(j.Expire(start.Add(40 * time.Second))).To(BeTrue())
+		_, results = j.Undurable()
+		Expect(results).To(HaveLen(3))
+		Expect(j.Finished()).To(BeFalse(), "nothing is durable yet")
+		j.Durable(3)
+		Expect(j.Finished()).To(BeTrue())
+	})
+
+	It("shows readers only what is durable, at the same positions after a restart", func() {
+		// The owner dies after it decided two results of which one is durable. Its
+		// successor lists the durable one first and makes the other anew: a reader
+		// that saw position 0 finds the same there.
+		j := batch.NewJob(spec(2), nil)
+		for range 2 {
+			s := begin(j, start)
+			write(j, s.Index, 1, 1, 3)
+			j.Ended(start, s.Index, batch.RunComplete, "e1")
+		}
+		Expect(j.Readable(0)).To(BeEmpty())
+		_, results := j.Undurable()
+		j.Durable(1)
+		Expect(j.Readable(0)).To(Equal(results[:1]))
+		Expect(j.Readable(1)).To(BeEmpty())
+
+		successor := batch.NewJob(spec(2), results[:1])
+		Expect(successor.Readable(0)).To(Equal(results[:1]))
+		s := begin(successor, start)
+		Expect(successor.Spec.Items[s.Index].ID).NotTo(Equal(results[0].Item))
+		_, more := successor.NextStart(start)
+		Expect(more).To(BeFalse())
+	})
+
+	It("starts nothing once it is closed", func() {
+		j := batch.NewJob(spec(2), nil)
+		j.Close()
+		_, ok := j.NextStart(start)
+		Expect(ok).To(BeFalse())
+		_, found := j.Body("i0")
+		Expect(found).To(BeFalse())
+	})
+
+	It("scores a text when it is whole, elsewhere after a failure, and gives up after the allowed failures", func() {
+		scored := spec(1)
+		scored.Items[0].Scorer = &batch.Scorer{ID: "s"}
+		j := batch.NewJob(scored, nil)
+		s := begin(j, start)
+		_, _, ok := j.NextScore(start)
+		Expect(ok).To(BeFalse(), "the text is not whole")
+		write(j, s.Index, 1, 1, 3)
+		j.Ended(start, s.Index, batch.RunComplete, "e1")
+		i, last, ok := j.NextScore(start)
+		Expect(ok).To(BeTrue())
+		Expect(last).To(BeEmpty())
+		j.Scored(start, i, batch.ScoreFailed, "", "p1", 3)
+		i, last, ok = j.NextScore(start)
+		Expect(ok).To(BeTrue())
+		Expect(last).To(Equal("p1"))
+		j.Scored(start, i, batch.ScoreUnsettled, "", "p2", 3)
+		_, _, ok = j.NextScore(start)
+		Expect(ok).To(BeFalse(), "a pause follows")
+		for range 2 {
+			i, _, ok = j.NextScore(start.Add(time.Second))
+			Expect(ok).To(BeTrue())
+			j.Scored(start.Add(time.Second), i, batch.ScoreFailed, "", "p1", 3)
+		}
+		_, results := j.Undurable()
+		Expect(results).To(Equal([]batch.Result{{Item: "i0", State: batch.Aborted}}))
+	})
+
+	It("gives the body of an item until it is listed", func() {
+		j := batch.NewJob(spec(1), nil)
+		body, found := j.Body("i0")
+		Expect(found).To(BeTrue())
+		Expect(body).To(Equal([]byte{0}))
+		Expect(j.Unlisted("i0")).To(BeTrue())
+		s := begin(j, start)
+		write(j, s.Index, 1, 1, 3)
+		j.Ended(start, s.Index, batch.RunComplete, "e1")
+		Expect(j.Unlisted("i0")).To(BeTrue(), "decided is not listed")
+		j.Durable(1)
+		Expect(j.Unlisted("i0")).To(BeFalse())
+		Expect(j.Unlisted("nobody")).To(BeFalse())
+	})
+
+	It("refuses a job without items, with an item without id, or with two of one id", func() {
+		Expect((&batch.Spec{}).Check()).To(MatchError(batch.ErrNoItems))
+		Expect((&batch.Spec{Items: []batch.Item{{}}}).Check()).To(MatchError(batch.ErrNoID))
+		Expect((&batch.Spec{Items: []batch.Item{{ID: "a"}, {ID: "a"}}}).Check()).To(MatchError(batch.ErrDuplicate))
+		Expect(spec(2).Check()).To(Succeed())
+	})
+
+	It("keeps every text whole and once through random ends, breaks and restarts", func() {
+		for seed := range uint64(200) {
+			playRandomly(seed)
+		}
+	})
+})
+
+// playRandomly runs a job under drawn ends of runs and checks every text.
+func playRandomly(seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 7))
+	s := spec(4)
+	j := batch.NewJob(s, nil)
+	now := start
+	for step := 0; step < 2000 && !j.Finished(); step++ {
+		now = now.Add(10 * time.Millisecond)
+		if n, pending := j.Undurable(); len(pending) > 0 && random.IntN(3) == 0 {
+			j.Durable(n + 1 + random.IntN(len(pending)))
+		}
+		if random.IntN(40) == 0 {
+			j = batch.NewJob(s, append([]batch.Result(nil), j.Readable(0)...)) // its owner died
+		}
+		run, ok := j.NextStart(now)
+		if !ok {
+			continue
+		}
+		next := run.After + 1
+		for next <= 5 && random.IntN(5) > 0 {
+			Expect(j.Event(run.Index, next, []byte(fmt.Sprintf("e%d", next)), 3+int64(random.IntN(2)))).To(BeTrue())
+			next++
+		}
+		how := batch.RunBroke
+		if next > 5 {
+			how = batch.RunComplete
+		}
+		j.Ended(now, run.Index, how, "e")
+	}
+	Expect(j.Finished()).To(BeTrue(), "seed %d", seed)
+	seen := map[string]bool{}
+	for _, r := range j.Readable(0) {
+		Expect(seen[r.Item]).To(BeFalse(), "seed %d", seed)
+		seen[r.Item] = true
+		Expect(string(r.Output)).To(Equal("e1\ne2\ne3\ne4\ne5"), "seed %d", seed)
+	}
+	Expect(seen).To(HaveLen(4))
+}
+
+var _ = Describe("the order of starts", func() {
+	grouped := func(hints ...int) *batch.Spec {
+		s := &batch.Spec{}
+		for i, h := range hints {
+			s.Items = append(s.Items, batch.Item{ID: fmt.Sprint(i), Group: fmt.Sprintf("g%d", i/2), LengthHint: h})
+		}
+		return s
+	}
+	starts := func(s *batch.Spec) string {
+		j := batch.NewJob(s, nil)
+		var order []string
+		for {
+			run, ok := j.NextStart(start)
+			if !ok {
+				return strings.Join(order, " ")
+			}
+			order = append(order, s.Items[run.Index].ID)
+		}
+	}
+
+	It("starts long items first, and last the groups that the trainer can do without", func() {
+		// Four groups, of which the trainer waits for three. The one with the longest
+		// item would hold the step up; it starts last and may stay unfinished.
+		s := grouped(10, 20, 30, 5, 50, 900, 40, 60)
+		s.WantGroups = 3
+		Expect(starts(s)).To(Equal("7 6 2 1 0 3 5 4"))
+	})
+
+	It("never holds back the first half of the awaited groups, which may have been carried over", func() {
+		s := grouped(900, 20, 30, 5, 50, 60, 40, 60)
+		s.WantGroups = 3
+		Expect(strings.HasPrefix(starts(s), "0 ")).To(BeTrue())
+	})
+
+	It("orders jobs that can be in time before late ones", func() {
+		j := batch.NewJob(spec(1), nil)
+		late, due := j.Urgency(start.Add(8 * time.Second))
+		Expect(late).To(BeFalse())
+		Expect(due).To(Equal(start.Add(8 * time.Second)))
+		late, _ = j.Urgency(start.Add(9 * time.Second))
+		Expect(late).To(BeTrue())
+	})
+})
+
+var _ = Describe("texts of ended jobs", func() {
+	ended := func(version int64) (*batch.Leftovers, *batch.Job) {
+		j := batch.NewJob(spec(2), nil)
+		s := begin(j, start)
+		write(j, s.Index, 1, 3, version)
+		j.Close()
+		left := batch.NewLeftovers()
+		left.Keep(start, j)
+		return left, j
+	}
+
+	It("go on where they stopped when the item returns", func() {
+		// The step was whole without this group, which comes back with the next one.
+		// Its long item had three events; the run at the next engine asks for the fourth.
+		left, _ := ended(3)
+		next := batch.NewJob(spec(2), nil)
+		Expect(left.Give(start.Add(time.Second), next)).To(Equal(1))
+		Expect(begin(next, start.Add(time.Second)).After).To(Equal(int64(3)))
+		Expect(left.Give(start.Add(time.Second), batch.NewJob(spec(2), nil))).To(BeZero(), "given once")
+	})
+
+	It("are not used under weights too old for the new job, with another body, or late", func() {
+		left, _ := ended(3)
+		newer := spec(2)
+		newer.MinVersion = 4
+		Expect(left.Give(start, batch.NewJob(newer, nil))).To(BeZero())
+
+		left, _ = ended(3)
+		other := spec(2)
+		other.Items[0].Body = []byte("other")
+		other.Items[1].Body = []byte("other")
+		Expect(left.Give(start, batch.NewJob(other, nil))).To(BeZero())
+
+		left, _ = ended(3)
+		Expect(left.Give(start.Add(time.Minute), batch.NewJob(spec(2), nil))).To(BeZero())
+	})
+})
--- /dev/null
+++ b/internal/policy/endpoints/endpoints_test.go
@@ -0,0 +1,148 @@
+package endpoints_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"siskinloom.example/siskinloom/internal/deployment"
+	"siskinloom.example/siskinloom/internal/policy/endpoints"
+)
+
+var start = time.Unix(1000, 0)
+
+func set(n int) *endpoints.Set {
+	s := endpoints.NewSet()
+	for i := range n {
+		s.Put(deployment.Endpoint{ID: fmt.Sprintf("e%d", i), Address: fmt.Sprintf("10.0.0.%d:1", i), Domain: "a", Slots: 2, Born: 1, Versions: map[string]int64{"m": int64(i)}})
+	}
+	return s
+}
+
+var _ = Describe("the choice of an endpoint", func() {
+	It("spreads requests over idle slots and counts what it gave", func() {
+		s := set(3)
+		counts := map[string]int{}
+		for range 6 {
+			counts[s.Pick(endpoints.Request{Now: start, Domain: "a"}).ID]++
+		}
+		Expect(counts).To(Equal(map[string]int{"e0": 2, "e1": 2, "e2": 2}))
+		Expect(s.Pick(endpoints.Request{Now: start, Within: true})).To(BeNil(), "no slot is free")
+		Expect(s.Pick(endpoints.Request{Now: start})).NotTo(BeNil(), "without Within a queue is better than none")
+	})
+
+	It("leaves out those that leave, were tried, or have too old weights", func() {
+		s := set(3)
+		s.Put(deployment.Endpoint{ID: "e2", Address: "10.0.0.2:1", Slots: 2, Born: 1, Leaving: true, Versions: map[string]int64{"m": 2}})
+		Expect(s.Pick(endpoints.Request{Now: start, Model: "m", MinVersion: 2})).To(BeNil())
+		Expect(s.Pick(endpoints.Request{Now: start, Model: "m", MinVersion: 1}).ID).To(Equal("e1"))
+		Expect(s.Pick(endpoints.Request{Now: start, Model: "m", Version: 0, Tried: []string{"e0", "e1"}})).To(BeNil())
+		Expect(s.Pick(endpoints.Request{Now: start, Model: "other"})).To(BeNil())
+		Expect(s.Pick(endpoints.Request{Now: start, Model: "m", Version: 1}).ID).To(Equal("e1"))
+	})
+
+	It("puts an endpoint without connection aside, longer each time, and tries it with one request", func() {
+		// What the caller sees: an engine went dark. The first request to it fails,
+		// the others must not follow; after the pause one request finds out whether
+		// it is back, and the rest wait for that one's outcome.
+		s := set(2)
+		dark := s.Pick(endpoints.Request{Now: start, Tried: []string{"e1"}})
+		dark.End(start, endpoints.Unreached, 0, 0)
+		for range 4 {
+			Expect(s.Pick(endpoints.Request{Now: start}).ID).To(Equal("e1"))
+		}
+		later := start.Add(time.Second)
+		probe := s.Pick(endpoints.Request{Now: later})
+		Expect(probe.ID).To(Equal("e0"), "the idle one is tried again")
+		Expect(s.Pick(endpoints.Request{Now: later}).ID).To(Equal("e1"), "by one request only")
+		probe.End(later, endpoints.Unreached, 0, 0)
+		until, aside := probe.Aside(later)
+		Expect(aside).To(BeTrue())
+		Expect(until.Sub(later)).To(Equal(time.Second), "twice the first pause")
+	})
+
+	It("uses one that is put aside if there is no other", func() {
+		s := set(1)
+		s.Pick(endpoints.Request{Now: start}).End(start, endpoints.Unreached, 0, 0)
+		Expect(s.Pick(endpoints.Request{Now: start})).NotTo(BeNil())
+		Expect(s.Pick(endpoints.Request{Now: start, Within: true})).To(BeNil(), "work that can wait does")
+	})
+
+	It("does not condemn an endpoint for single broken answers", func() {
+		s := set(2)
+		for range 2 {
+			s.Pick(endpoints.Request{Now: start, Tried: []string{"e1"}}).End(start, endpoints.Broke, 0, 0)
+		}
+		Expect(s.Pick(endpoints.Request{Now: start}).ID).To(Equal("e0"))
+	})
+
+	It("asks one that refuses as full less and less often, and afresh once it answers", func() {
+		// An engine that loads weights refuses everything for about a second; asked
+		// again every 25 ms by each of forty items, it answered some hundred refusals.
+		s := set(1)
+		now, asked := start, 0
+		for now.Before(start.Add(time.Second)) {
+			if e := s.Pick(endpoints.Request{Now: now, Within: true}); e != nil {
+				asked++
+				e.End(now, endpoints.Refused, 0, 0)
+			}
+			now = now.Add(5 * time.Millisecond)
+		}
+		Expect(asked).To(BeNumerically("<=", 9))
+		now = now.Add(time.Second)
+		e := s.Pick(endpoints.Request{Now: now, Within: true})
+		e.End(now, endpoints.Answered, time.Millisecond, 1)
+		s.Pick(endpoints.Request{Now: now, Within: true}).End(now, endpoints.Refused, 0, 0)
+		until, _ := e.Aside(now)
+		Expect(until.Sub(now)).To(BeNumerically("<=", 25*time.Millisecond))
+	})
+
+	It("gives a slow endpoint fewer requests", func() {
+		s := set(3)
+		for range 5 {
+			for _, id := range []string{"e0", "e1", "e2"} {
+				took := 20 * time.Millisecond
+				if id == "e0" {
+					took = 80 * time.Millisecond
+				}
+				var others []string
+				for _, other := range []string{"e0", "e1", "e2"} {
+					if other != id {
+						others = append(others, other)
+					}
+				}
+				s.Pick(endpoints.Request{Now: start, Tried: others}).End(start, endpoints.Answered, took, 1)
+			}
+		}
+		counts := map[string]int{}
+		for range 4 {
+			counts[s.Pick(endpoints.Request{Now: start}).ID]++
+		}
+		Expect(counts["e0"]).To(BeZero())
+	})
+
+	It("takes another start of the same ID for a new endpoint", func() {
+		// The engine crashed and is back under its ID. What was learnt of the old
+		// process, here that it does not answer, says nothing of the new one.
+		s := set(1)
+		s.Pick(endpoints.Request{Now: start}).End(start, endpoints.Unreached, 0, 0)
+		s.Put(deployment.Endpoint{ID: "e0", Address: "10.0.0.0:1", Slots: 2, Born: 2})
+		Expect(s.Pick(endpoints.Request{Now: start, Within: true})).NotTo(BeNil())
+	})
+
+	It("keeps what it learnt when only the list's entry changes", func() {
+		s := set(1)
+		s.Pick(endpoints.Request{Now: start}).End(start, endpoints.Unreached, 0, 0)
+		s.Put(deployment.Endpoint{ID: "e0", Address: "10.0.0.0:1", Slots: 2, Born: 1, Versions: map[string]int64{"m": 9}})
+		Expect(s.Pick(endpoints.Request{Now: start, Within: true})).To(BeNil())
+	})
+
+	It("prefers its own failure domain and the holder of the prefix between equals", func() {
+		s := set(2)
+		s.Put(deployment.Endpoint{ID: "e0", Address: "10.0.0.0:1", Domain: "b", Slots: 2, Born: 1})
+		Expect(s.Pick(endpoints.Request{Now: start, Domain: "a"}).ID).To(Equal("e1"))
+		Expect(s.Pick(endpoints.Request{Now: start, Domain: "a", Holder: "e0"}).ID).To(Equal("e0"))
+	})
+})
--- /dev/null
+++ b/internal/sse/sse_test.go
@@ -0,0 +1,81 @@
+package sse_test
+
+import (
+	"io"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"siskinloom.example/siskinloom/internal/sse"
+)
+
+var _ = Describe("reading events", func() {
+	It("returns whole events with their bytes, ids, data and other fields", func() {
+		raw := "x-version: 7\nid: 1\ndata: a\ndata: b\n\n: comment\n\r\nid: 2\r\ndata:c\r\n\r\n"
+		r := sse.NewReader(strings.NewReader(raw))
+		e, err := r.Next()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(e.ID).To(Equal(int64(1)))
+		Expect(string(e.Data)).To(Equal("a\nb"))
+		Expect(e.Fields).To(Equal(map[string]string{"x-version": "7"}))
+		Expect(string(e.Raw)).To(Equal("x-version: 7\nid: 1\ndata: a\ndata: b\n\n"))
+		_, err = r.Next() // the comment alone
+		Expect(err).NotTo(HaveOccurred())
+		e, err = r.Next()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(e.ID).To(Equal(int64(2)))
+		Expect(string(e.Data)).To(Equal("c"))
+		_, err = r.Next()
+		Expect(err).To(Equal(io.EOF))
+	})
+
+	DescribeTable("tells a stream that broke off within an event from one that ended",
+		func(raw string, want error) {
+			r := sse.NewReader(strings.NewReader(raw))
+			_, err := r.Next()
+			Expect(err).To(Equal(want))
+		},
+		Entry("nothing", "", io.EOF),
+		Entry("half a line", "id: 1", io.ErrUnexpectedEOF),
+		Entry("no blank line", "id: 1\ndata: a\n", io.ErrUnexpectedEOF),
+		Entry("blank lines", "\n\n", io.EOF),
+	)
+
+	It("gives up on an event that never ends", func() {
+		_, err := sse.NewReader(io.LimitReader(endless{}, 16<<20)).Next()
+		Expect(err).To(Equal(sse.ErrTooLong))
+	})
+
+	It("keeps empty data apart from none", func() {
+		e, err := sse.NewReader(strings.NewReader("data:\n\n")).Next()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(e.Data).NotTo(BeNil())
+		Expect(e.Data).To(BeEmpty())
+	})
+})
+
+type endless struct{}
+
+func (endless) Read(p []byte) (int, error) { return copy(p, "data: x\n"), nil }
+
+func FuzzNext(f *testing.F) {
+	f.Add("id: 1\ndata: a\n\n")
+	f.Add("data: a\rid: 2\n\n\n")
+	f.Add(":\n:\n\nid: 99999999999999999999\n\n")
+	f.Fuzz(func(t *testing.T, raw string) {
+		r := sse.NewReader(strings.NewReader(raw))
+		total := 0
+		for {
+			e, err := r.Next()
+			if err != nil {
+				return
+			}
+			total += len(e.Raw)
+			if total > len(raw) {
+				t.Fatalf("events of %d bytes from %d", total, len(raw))
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/standin/shared.go
@@ -0,0 +1,277 @@
+package standin
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"siskinloom.example/siskinloom/internal/kv"
+)
+
+// Shared is a key-value service in memory that speaks kv.Shared and misbehaves
+// on demand. It is safe for concurrent use.
+type Shared struct {
+	mu       sync.Mutex
+	revision int64
+	oldest   int64 // watches from before it get ErrHistoryGone
+	records  map[string]kv.Record
+	history  []kv.Change
+	leases   map[kv.LeaseID]time.Time
+	news     chan struct{}
+	nextID   kv.LeaseID
+
+	down bool
+	deaf bool
+	lose int // commits whose answer is lost, from now on
+	// Calls counts calls by kind.
+	Calls map[string]int
+}
+
+// NewShared returns an empty service.
+func NewShared() *Shared {
+	return &Shared{revision: 1, records: map[string]kv.Record{}, leases: map[kv.LeaseID]time.Time{}, news: make(chan struct{}), Calls: map[string]int{}}
+}
+
+// SetDown has the service refuse every call, or serve again.
+func (s *Shared) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+// LoseAnswers has the next n commits take effect without an answer.
+func (s *Shared) LoseAnswers(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lose = n
+}
+
+// SetDeaf keeps watches that wait from hearing changes.
+func (s *Shared) SetDeaf(deaf bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deaf = deaf
+}
+
+// DropHistory forgets all changes so far.
+func (s *Shared) DropHistory() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history = nil
+	s.oldest = s.revision
+}
+
+// Revoke takes a key away without a word to its writer.
+func (s *Shared) Revoke(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.remove(key)
+	s.wake()
+}
+
+// Count returns how many calls of a kind were made.
+func (s *Shared) Count(kind string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Calls[kind]
+}
+
+func (s *Shared) begin(kind string) error {
+	s.Calls[kind]++
+	if s.down {
+		return errors.Wrap(kv.ErrUnavailable, kind)
+	}
+	s.expire()
+	return nil
+}
+
+func (s *Shared) expire() {
+	for id, until := range s.leases {
+		if time.Now().After(until) {
+			s.endLease(id)
+		}
+	}
+}
+
+func (s *Shared) endLease(id kv.LeaseID) {
+	delete(s.leases, id)
+	s.revision++
+	for key, r := range s.records {
+		if r.Lease == id {
+			s.remove(key)
+		}
+	}
+	s.wake()
+}
+
+func (s *Shared) remove(key string) {
+	if _, found := s.records[key]; !found {
+		return
+	}
+	delete(s.records, key)
+	s.history = append(s.history, kv.Change{Record: kv.Record{Key: key, Revision: s.revision}, Deleted: true})
+}
+
+func (s *Shared) wake() {
+	close(s.news)
+	s.news = make(chan struct{})
+}
+
+// Read implements kv.Shared.
+func (s *Shared) Read(_ context.Context, key string) (kv.Record, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.begin("read"); err != nil {
+		return kv.Record{}, err
+	}
+	r, found := s.records[key]
+	if !found {
+		return kv.Record{Key: key}, nil
+	}
+	return r, nil
+}
+
+// pageRecords is small, so that tests read by page.
+const pageRecords = 3
+
+// ReadPage implements kv.Shared.
+func (s *Shared) ReadPage(_ context.Context, prefix, after string) (kv.Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.begin("page"); err != nil {
+		return kv.Page{}, err
+	}
+	page := kv.Page{AsOf: s.revision}
+	for key, r := range s.records {
+		if strings.HasPrefix(key, prefix) && key > after {
+			page.Records = append(page.Records, r)
+		}
+	}
+	sort.Slice(page.Records, func(i, j int) bool { return page.Records[i].Key < page.Records[j].Key })
+	if len(page.Records) > pageRecords {
+		page.Records, page.Truncated = page.Records[:pageRecords], true
+	}
+	return page, nil
+}
+
+// Await implements kv.Shared.
+func (s *Shared) Await(ctx context.Context, prefix string, after int64, wait time.Duration) (kv.Changes, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	waited := false
+	for {
+		s.mu.Lock()
+		if err := s.begin("watch"); err != nil {
+			s.mu.Unlock()
+			return kv.Changes{}, err
+		}
+		deaf := s.deaf && waited
+		if after < s.oldest && !deaf {
+			s.mu.Unlock()
+			return kv.Changes{}, kv.ErrHistoryGone
+		}
+		changes := kv.Changes{AsOf: s.revision}
+		for _, c := range s.history {
+			if c.Record.Revision > after && strings.HasPrefix(c.Record.Key, prefix) && !deaf {
+				changes.Changes = append(changes.Changes, c)
+			}
+		}
+		news := s.news
+		s.mu.Unlock()
+		if len(changes.Changes) > 0 {
+			return changes, nil
+		}
+		waited = true
+		select {
+		case <-news:
+		case <-timer.C:
+			return kv.Changes{AsOf: after}, nil
+		case <-ctx.Done():
+			return kv.Changes{}, errors.Wrap(kv.ErrUnavailable, ctx.Err().Error())
+		}
+	}
+}
+
+// Commit implements kv.Shared.
+func (s *Shared) Commit(_ context.Context, t kv.Transaction) (kv.Committed, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.begin("commit"); err != nil {
+		return kv.Committed{}, err
+	}
+	committed, err := s.apply(t)
+	if s.lose > 0 {
+		s.lose--
+		return kv.Committed{}, errors.Wrap(kv.ErrUnknown, "answer lost")
+	}
+	return committed, err
+}
+
+func (s *Shared) apply(t kv.Transaction) (kv.Committed, error) {
+	for _, e := range t.Expect {
+		if s.records[e.Key].Revision != e.Revision {
+			return kv.Committed{}, nil
+		}
+	}
+	for _, p := range t.Puts {
+		if _, found := s.leases[p.Lease]; p.Lease != 0 && !found {
+			return kv.Committed{}, kv.ErrLeaseNotFound
+		}
+	}
+	s.revision++
+	for _, p := range t.Puts {
+		r := kv.Record{Key: p.Key, Value: append([]byte(nil), p.Value...), Revision: s.revision, Lease: p.Lease}
+		s.records[p.Key] = r
+		s.history = append(s.history, kv.Change{Record: r})
+	}
+	for _, key := range t.Remove {
+		s.remove(key)
+	}
+	s.wake()
+	return kv.Committed{Done: true, Revision: s.revision}, nil
+}
+
+// GrantLease implements kv.Shared.
+func (s *Shared) GrantLease(_ context.Context, ttl time.Duration) (kv.LeaseID, time.Duration, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.begin("lease"); err != nil {
+		return 0, 0, err
+	}
+	s.nextID++
+	s.leases[s.nextID] = time.Now().Add(ttl)
+	return s.nextID, ttl, nil
+}
+
+// KeepLease implements kv.Shared.
+func (s *Shared) KeepLease(_ context.Context, id kv.LeaseID) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.begin("keep"); err != nil {
+		return err
+	}
+	if _, found := s.leases[id]; !found {
+		return kv.ErrLeaseNotFound
+	}
+	s.leases[id] = time.Now().Add(time.Hour)
+	return nil
+}
+
+// RevokeLease implements kv.Shared.
+func (s *Shared) RevokeLease(_ context.Context, id kv.LeaseID) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.begin("revoke"); err != nil {
+		return err
+	}
+	if _, found := s.leases[id]; !found {
+		return kv.ErrLeaseNotFound
+	}
+	s.endLease(id)
+	return nil
+}
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,197 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"siskinloom.example/siskinloom/internal/upstream"
+)
+
+// scripted is an endpoint that answers each request of a connection with the
+// next piece of raw text; after the last piece it closes the connection.
+type scripted struct {
+	listener net.Listener
+	accepted atomic.Int64
+	requests chan *http.Request
+	bodies   chan string
+}
+
+func serve(answers ...string) *scripted {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	s := &scripted{listener: listener, requests: make(chan *http.Request, 16), bodies: make(chan string, 16)}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			s.accepted.Add(1)
+			go s.answer(conn, answers)
+		}
+	}()
+	DeferCleanup(func() { _ = listener.Close() })
+	return s
+}
+
+func (s *scripted) answer(conn net.Conn, answers []string) {
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	for _, answer := range answers {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(r.Body)
+		s.requests <- r
+		s.bodies <- string(body)
+		if _, err := io.WriteString(conn, answer); err != nil {
+			return
+		}
+	}
+}
+
+func (s *scripted) address() string { return s.listener.Addr().String() }
+
+const ok = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nok"
+
+func call() *upstream.Call {
+	return &upstream.Call{Method: "POST", Target: "/p?q=1", Host: "h.example", Header: http.Header{"X-A": {"b"}}, Body: []byte("body")}
+}
+
+func read(p *upstream.Pool, address string, c *upstream.Call) (string, error) {
+	answer, err := p.Do(context.Background(), address, c)
+	if err != nil {
+		return "", err
+	}
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	return string(body), err
+}
+
+func sent(err error) bool {
+	var send *upstream.SendError
+	ExpectWithOffset(1, errors.As(err, &send)).To(BeTrue(), "%v", err)
+	return send.Sent
+}
+
+var _ = Describe("a pool of connections", func() {
+	It("sends the request as it is and keeps the connection", func() {
+		s := serve(ok, ok)
+		p := upstream.NewPool(nil)
+		for range 2 {
+			Expect(read(p, s.address(), call())).To(Equal("ok"))
+			r := <-s.requests
+			Expect(r.Method + " " + r.RequestURI + " " + r.Host + " " + r.Header.Get("X-A")).To(Equal("POST /p?q=1 h.example b"))
+			Expect(<-s.bodies).To(Equal("body"))
+		}
+		Expect(s.accepted.Load()).To(Equal(int64(1)))
+	})
+
+	It("takes a new connection when the endpoint has closed the kept one, and repeats nothing", func() {
+		// The endpoint closes idle connections. A request that was written to one
+		// would end without a word whether it ran.
+		s := serve(ok)
+		p := upstream.NewPool(nil)
+		Expect(read(p, s.address(), call())).To(Equal("ok"))
+		Eventually(func() error { _, err := read(p, s.address(), call()); return err }).Should(Succeed())
+		Expect(s.accepted.Load()).To(BeNumerically(">=", 2))
+	})
+
+	It("does not reuse a connection with bytes after the answer", func() {
+		// A faulty engine sends a second answer nobody asked for. The next caller on
+		// that connection must not get it.
+		s := serve(ok+"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong", ok)
+		p := upstream.NewPool(nil)
+		Expect(read(p, s.address(), call())).To(Equal("ok"))
+		Expect(read(p, s.address(), call())).To(Equal("ok"))
+		Expect(s.accepted.Load()).To(Equal(int64(2)))
+	})
+
+	It("reads past a late answer to another request", func() {
+		s := serve("HTTP/1.1 200 OK\r\nX-Id: 0\r\nContent-Length: 5\r\n\r\nwrong" + ok)
+		c := call()
+		c.Mine = func(h http.Header) bool { return h.Get("X-Id") == "1" }
+		Expect(read(upstream.NewPool(nil), s.address(), c)).To(Equal("ok"))
+	})
+
+	It("gives up where only answers to others come", func() {
+		s := serve(strings.Repeat("HTTP/1.1 200 OK\r\nX-Id: 0\r\nContent-Length: 0\r\n\r\n", 5))
+		c := call()
+		c.Mine = func(h http.Header) bool { return h.Get("X-Id") == "1" }
+		_, err := read(upstream.NewPool(nil), s.address(), c)
+		Expect(sent(err)).To(BeTrue())
+	})
+
+	DescribeTable("an answer that is not whole is an error, after which the request may have run",
+		func(answer string) {
+			s := serve(answer)
+			_, err := read(upstream.NewPool(nil), s.address(), call())
+			Expect(err).To(HaveOccurred())
+		},
+		Entry("no answer", ""),
+		Entry("no HTTP", "garbage\r\n\r\n"),
+		Entry("cut header", "HTTP/1.1 200 OK\r\nContent-Le"),
+		Entry("cut body", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf"),
+		Entry("cut chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n"),
+	)
+
+	It("takes the end of the connection for the end of a body without length", func() {
+		s := serve("HTTP/1.1 200 OK\r\n\r\nall of it")
+		Expect(read(upstream.NewPool(nil), s.address(), call())).To(Equal("all of it"))
+	})
+
+	It("knows that nothing was sent when no connection can be made", func() {
+		s := serve()
+		Expect(s.listener.Close()).To(Succeed())
+		_, err := read(upstream.NewPool(nil), s.address(), call())
+		Expect(sent(err)).To(BeFalse())
+	})
+
+	It("refuses a target that would smuggle a second request", func() {
+		c := call()
+		c.Target = "/p HTTP/1.1\r\nHost: x\r\n\r\nGET /q"
+		_, err := read(upstream.NewPool(nil), "127.0.0.1:1", c)
+		Expect(sent(err)).To(BeFalse())
+	})
+
+	It("closes the connection when the caller leaves, so that the endpoint stops", func() {
+		// The caller is gone half a second into a long run. The engine sees the
+		// connection close and gives its slot to somebody else.
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { _ = listener.Close() })
+		closed := make(chan struct{})
+		go func() {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, conn)
+			close(closed)
+		}()
+		ctx, leave := context.WithCancel(context.Background())
+		time.AfterFunc(20*time.Millisecond, leave)
+		_, err = upstream.NewPool(nil).Do(ctx, listener.Addr().String(), call())
+		Expect(sent(err)).To(BeTrue())
+		Eventually(closed).Should(BeClosed())
+	})
+
+	It("keeps a connection no longer than its endpoint says", func() {
+		s := serve("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 2\r\n\r\nok", ok)
+		p := upstream.NewPool(nil)
+		Expect(read(p, s.address(), call())).To(Equal("ok"))
+		Expect(read(p, s.address(), call())).To(Equal("ok"))
+		Expect(s.accepted.Load()).To(Equal(int64(2)))
+	})
+})
