Three scouts follow the store for all

Change: the three workers that rank first follow the store, everybody else takes news from them; entries renew their registration a quarter as often; marks' watches wait 20 s, as owners are told by calls, also when a job moves.

--- a/internal/batchrun/desk.go
+++ b/internal/batchrun/desk.go
@@ -204,6 +204,11 @@
 	return true, true, nil
 }
 
+// TellMoved tells a job's new owner of its mark.
+func (d *Desk) TellMoved(owner, job string, revision int64) {
+	d.tellOwner(owner, callMarked, MarkArgs{Job: job, Revision: revision, Begun: true})
+}
+
 // tellOwner tells an owner what its watch will tell it as well, only later.
 func (d *Desk) tellOwner(owner, method string, args MarkArgs) {
 	go func() {
--- a/internal/batchrun/moving.go
+++ b/internal/batchrun/moving.go
@@ -35,6 +35,8 @@
 	Log     *logrus.Logger
 	// Unsettled tells whether the store was away until a moment ago.
 	Unsettled func() bool
+	// Tell tells the new owner of its mark; may be nil.
+	Tell func(owner, job string, revision int64)
 }
 
 // MemberGone moves a process's jobs unless it comes back. It returns when that
@@ -128,6 +130,9 @@
 		return false, err
 	}
 	if committed.Done {
+		if m.Tell != nil {
+			m.Tell(to, id, committed.Revision)
+		}
 		events.JobHandedOn.Log(m.Log, logrus.Fields{"job": id, "from": from, "to": to, "mark": mark.Revision})
 	}
 	return true, nil // otherwise it moved or ended meanwhile
--- a/internal/batchrun/owner.go
+++ b/internal/batchrun/owner.go
@@ -28,9 +28,10 @@
 	// that comes alone, as a straggler's does, is written at once; readers poll
 	// twice a second, and at this pace a job costs at most four writes a second.
 	gatherResults = 250 * time.Millisecond
-	// marksWait is how long the watch of the marks waits. Who accepts or ends a job
-	// tells its owner by a call; the watch is for calls that did not come through.
-	marksWait = 6 * time.Second
+	// marksWait is how long the watch of the marks waits. Who accepts, ends or moves
+	// a job tells its owner by a call; the watch is for calls that did not come
+	// through. Its changes come at once; only what a deaf store kept from it waits.
+	marksWait = 20 * time.Second
 	// retryWrite is the pause after a write that failed.
 	retryWrite = 200 * time.Millisecond
 )
@@ -135,10 +136,10 @@
 	o.remark(ctx, jobOfTodo(mark.Key), mark.Revision)
 }
 
-// told takes on a job that was just accepted for this process, ahead of the
+// told takes on a job that was just accepted for this process or moved to it, ahead of the
 // watch of its marks. The watch repeats the same revision, which changes nothing.
 func (o *Owner) told(args MarkArgs) {
-	raw, err := encode(todoMark{Fresh: true})
+	raw, err := encode(todoMark{Fresh: !args.Begun})
 	if err != nil || o.lifetime == nil {
 		return
 	}
--- a/internal/batchrun/rpc.go
+++ b/internal/batchrun/rpc.go
@@ -67,6 +67,7 @@
 type MarkArgs struct {
 	Job      string
 	Revision int64
+	Begun    bool // another process owned it before
 }
 
 // Marked implements the call of that name: the job is this process's.
--- /dev/null
+++ b/internal/cluster/scouts.go
@@ -0,0 +1,29 @@
+package cluster
+
+import (
+	"siskinloom.example/siskinloom/internal/policy/rendezvous"
+)
+
+// scoutCount is how many processes follow the store for all others. Each costs
+// the store a watch and an answer for every change, whatever the size of the
+// fleet; with three, two may be gone or cut off.
+const scoutCount = 3
+
+// Scouts returns the workers that follow the store and pass its news on. Every
+// process that knows the same members finds the same scouts.
+func Scouts(members *Members) []Member {
+	var workers []Member
+	var keys []uint64
+	for _, m := range members.Live() {
+		if m.Worker && !m.Leaving {
+			workers = append(workers, m)
+			keys = append(keys, rendezvous.Key(m.Name))
+		}
+	}
+	ranked := rendezvous.Ranked(rendezvous.Key("scouts"), keys, scoutCount)
+	scouts := make([]Member, len(ranked))
+	for i, at := range ranked {
+		scouts[i] = workers[at]
+	}
+	return scouts
+}
--- a/internal/cluster/subscribe.go
+++ b/internal/cluster/subscribe.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// directSpell is how long news are taken from the store itself once no worker
-	// has fresh ones, before the workers are asked again.
+	// directSpell is how long news are taken from the store itself once no scout
+	// has fresh ones, before the scouts are asked again.
 	directSpell = 4 * time.Second
 	// newsSlack is how much longer than its own wait a call for news may take.
 	newsSlack = 500 * time.Millisecond
@@ -23,8 +23,8 @@
 
 var errStaleNews = errors.New("cluster: worker has not heard from the store lately")
 
-// Subscriber keeps topics up to date from workers that follow the store, or
-// from the store itself while none of them can.
+// Subscriber keeps topics up to date from scouts, or from the store itself while
+// none of them can.
 type Subscriber struct {
 	Store   kv.Shared
 	Topics  []*Topic
@@ -36,13 +36,19 @@
 	Recovered func()
 	// Source is told where news come from from now on; may be nil.
 	Source func(name string, why error)
+	// Known is set once everything was told, from whatever source: a later Run
+	// then begins with the scouts.
+	Known bool
 }
 
 // Run keeps the topics up to date until ctx ends.
 func (s *Subscriber) Run(ctx context.Context) error {
-	s.direct(ctx, true)
+	if !s.Known {
+		s.direct(ctx, true)
+		s.Known = true
+	}
 	for ctx.Err() == nil {
-		s.fromWorkers(ctx)
+		s.fromScouts(ctx)
 		if ctx.Err() == nil {
 			s.direct(ctx, false)
 		}
@@ -82,9 +88,9 @@
 	_ = group.Wait() // followers end with their context and return no error
 }
 
-// fromWorkers takes news from one worker after the other until none has any.
-func (s *Subscriber) fromWorkers(ctx context.Context) {
-	for _, worker := range s.workers() {
+// fromScouts takes news from one scout after the other until none has any.
+func (s *Subscriber) fromScouts(ctx context.Context) {
+	for _, worker := range s.scouts() {
 		err := s.follow(ctx, worker)
 		if ctx.Err() != nil {
 			return
@@ -93,23 +99,18 @@
 	}
 }
 
-// workers lists those to be asked, in this process's failure domain first.
-func (s *Subscriber) workers() []Member {
-	var workers []Member
-	for _, m := range s.Members.Live() {
-		if m.Worker && !m.Leaving {
-			workers = append(workers, m)
-		}
-	}
+// scouts lists the scouts, the one in this process's failure domain first.
+func (s *Subscriber) scouts() []Member {
+	scouts := Scouts(s.Members)
 	self := rendezvous.Key(s.Self.Name)
-	sort.SliceStable(workers, func(i, j int) bool {
-		near, other := workers[i].Domain == s.Self.Domain, workers[j].Domain == s.Self.Domain
+	sort.SliceStable(scouts, func(i, j int) bool {
+		near, other := scouts[i].Domain == s.Self.Domain, scouts[j].Domain == s.Self.Domain
 		if near != other {
 			return near
 		}
-		return rendezvous.Weight(self, rendezvous.Key(workers[i].Name)) > rendezvous.Weight(self, rendezvous.Key(workers[j].Name))
+		return rendezvous.Weight(self, rendezvous.Key(scouts[i].Name)) > rendezvous.Weight(self, rendezvous.Key(scouts[j].Name))
 	})
-	return workers
+	return scouts
 }
 
 // follow takes a worker's news until it fails or has none that are fresh.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -86,6 +86,11 @@
 // dutyWeights is the duty of giving weight orders.
 const dutyWeights = "weights"
 
+// entryTTL times as long as a worker's is the lease of an entry's registration:
+// entries own jobs only when no worker is left, so nothing waits for one to
+// lapse, and each renewal is a call.
+const entryTTL = 4
+
 // Node is one running process.
 type Node struct {
 	settings Settings
@@ -116,11 +121,15 @@
 	n.directory = directory.New(s.FailureDomain, a.Forget)
 	inner := net.JoinHostPort(s.IP, strconv.Itoa(s.InnerPort))
 	self := cluster.Member{Name: s.ID, Address: inner, Domain: s.FailureDomain, Worker: s.Worker, Boot: time.Now().UnixNano()}
-	n.registrar = cluster.NewRegistrar(a.Store, self, s.LeaseTTL, n.members, log)
+	ttl := s.LeaseTTL
+	if !s.Worker {
+		ttl *= entryTTL
+	}
+	n.registrar = cluster.NewRegistrar(a.Store, self, ttl, n.members, log)
 	n.owner = &batchrun.Owner{Name: s.ID, Store: a.Store, Directory: n.directory, Sender: a.Sender, Log: log, Keep: s.KeepResults, Registry: registry, Lost: n.storeFailed, Back: n.storeBack}
 	n.owner.Init()
 	n.desk = &batchrun.Desk{Store: a.Store, Members: n.members, Peers: rpcpool.New(netdial.Dial), Local: n.owner, Log: log, ValueBytes: s.ValueBytes}
-	n.mover = &batchrun.Mover{Self: s.ID, Store: a.Store, Members: n.members, Log: log, Unsettled: n.trouble.recent}
+	n.mover = &batchrun.Mover{Self: s.ID, Store: a.Store, Members: n.members, Log: log, Unsettled: n.trouble.recent, Tell: n.desk.TellMoved}
 	n.gate = gate.New(n.directory, a.Sender, log, registry)
 	peers := n.desk.Peers
 	n.owner.Adopted = func(spec *batch.Spec) {
@@ -128,7 +137,7 @@
 	}
 	if s.Worker {
 		n.relay = cluster.NewRelay(self.Boot)
-		n.leader = cluster.NewLeader(a.Store, cluster.DutyKey+dutyWeights, s.ID, s.LeaseTTL, s.MinTTL, func() bool { return !n.stopping.Load() }, n.leads)
+		n.leader = cluster.NewLeader(a.Store, cluster.DutyKey+dutyWeights, s.ID, s.LeaseTTL, s.MinTTL, n.isScout, n.leads)
 		n.registrar.DutyGone = func(string) { n.leader.Vacant() }
 		n.models = &modelrun.Runner{Self: s.ID, Directory: n.directory, Leader: n.leader, Commander: a.Commander, Log: log, Registry: registry}
 	}
--- a/internal/node/views.go
+++ b/internal/node/views.go
@@ -55,48 +55,113 @@
 // no bound in seconds, as calls to a process that is gone fail by themselves.
 const membersWait = 6 * time.Second
 
-// follow keeps this process's view of what others write up to date: workers
-// from the store, and the others from the workers.
+// scoutLook is how often a worker looks whether it is a scout. A scout that is
+// gone is missed by the others at once, as they ask the next one.
+const scoutLook = 500 * time.Millisecond
+
+// follow keeps this process's view of what others write up to date: scouts from
+// the store, and the others from the scouts.
 func (n *Node) follow(ctx context.Context, group *errgroup.Group) {
 	keys := n.adapter.Keys
-	declarations := &cluster.Topic{Prefix: keys.Declaration, Changed: func(r kv.Record) { n.operatorWrote(ctx, group, r) }, Deleted: func(string, int64) {}}
+	operator := &cluster.Topic{Prefix: keys.Operator, Changed: func(r kv.Record) { n.operatorWrote(ctx, group, r) }, Deleted: func(string, int64) {}}
 	endpoints := &cluster.Topic{Prefix: keys.Endpoints, Changed: n.endpointListed, Deleted: n.endpointGone, Synced: func() { n.listed.Store(true) }}
 	members := n.registrar.Topic()
-	if !n.settings.Worker {
-		s := &cluster.Subscriber{
-			Store: n.adapter.Store, Topics: []*cluster.Topic{declarations, endpoints, members}, Members: n.members, Peers: n.desk.Peers,
-			Self: n.registrar.Self, Failed: n.storeFailed, Recovered: n.storeBack, Source: n.newsFrom,
+	if n.settings.Worker {
+		n.registrar.Gone = func(name string) {
+			group.Go(func() error { n.mover.MemberGone(ctx, name); return nil })
 		}
-		group.Go(func() error { return s.Run(ctx) })
-		return
 	}
-	n.relay.Carry(declarations.Prefix, 0)
-	n.relay.Carry(endpoints.Prefix, 0)
-	n.relay.Carry(members.Prefix, membersWait)
-	n.registrar.Gone = func(name string) {
-		group.Go(func() error { n.mover.MemberGone(ctx, name); return nil })
+	v := &views{node: n, topics: []followed{{n.relayed(operator, 0), 0}, {n.relayed(endpoints, 0), 0}, {n.relayed(members, membersWait), membersWait}}}
+	group.Go(func() error { return v.run(ctx) })
+}
+
+// followed is a topic with the wait of its watch.
+type followed struct {
+	topic *cluster.Topic
+	wait  time.Duration
+}
+
+// views keeps a process's topics up to date, as a scout or from the scouts.
+type views struct {
+	node   *Node
+	topics []followed
+}
+
+func (v *views) run(ctx context.Context) error {
+	n := v.node
+	s := &cluster.Subscriber{
+		Store: n.adapter.Store, Members: n.members, Peers: n.desk.Peers, Self: n.registrar.Self,
+		Failed: n.storeFailed, Recovered: n.storeBack, Source: n.newsFrom,
+	}
+	for _, f := range v.topics {
+		s.Topics = append(s.Topics, f.topic)
+	}
+	for ctx.Err() == nil {
+		scout := n.isScout()
+		spell, end := context.WithCancel(ctx)
+		go v.endWhenChanged(spell, end, scout)
+		if scout {
+			n.newsFrom("store, as a scout", nil)
+			v.scout(spell)
+			s.Known = true
+		} else if err := s.Run(spell); err != nil {
+			end()
+			return err
+		}
+		end()
+	}
+	return nil
+}
+
+// endWhenChanged ends a spell when this process becomes a scout or no longer is.
+func (v *views) endWhenChanged(ctx context.Context, end context.CancelFunc, scout bool) {
+	ticker := time.NewTicker(scoutLook)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if v.node.isScout() != scout {
+			end()
+			return
+		}
 	}
-	operator := &cluster.Topic{Prefix: keys.Operator, Changed: func(r kv.Record) {
-		if r.Key == keys.Declaration {
-			n.relay.Put(keys.Declaration, kv.Change{Record: r})
+}
+
+// isScout tells whether this process follows the store for others.
+func (n *Node) isScout() bool {
+	if !n.settings.Worker || n.stopping.Load() {
+		return false
+	}
+	for _, m := range cluster.Scouts(n.members) {
+		if m.Name == n.settings.ID {
+			return true
 		}
-		declarations.Changed(r)
-	}, Deleted: declarations.Deleted}
-	n.followStore(ctx, group, operator, declarations.Prefix, 0)
-	n.followStore(ctx, group, n.relayed(endpoints), endpoints.Prefix, 0)
-	n.followStore(ctx, group, n.relayed(members), members.Prefix, membersWait)
+	}
+	return false
 }
 
-func (n *Node) followStore(ctx context.Context, group *errgroup.Group, topic *cluster.Topic, relayedAs string, wait time.Duration) {
-	f := &cluster.Follower{
-		Store: n.adapter.Store, Topic: topic, Wait: wait, Failed: n.storeFailed, Recovered: n.storeBack,
-		Heard: func(asOf int64) { n.relay.Heard(relayedAs, asOf) },
+func (v *views) scout(ctx context.Context) {
+	n := v.node
+	var group errgroup.Group
+	for _, t := range v.topics {
+		f := &cluster.Follower{
+			Store: n.adapter.Store, Topic: t.topic, Wait: t.wait, Failed: n.storeFailed, Recovered: n.storeBack,
+			Heard: func(asOf int64) { n.relay.Heard(t.topic.Prefix, asOf) },
+		}
+		group.Go(func() error { return f.Run(ctx) })
 	}
-	group.Go(func() error { return f.Run(ctx) })
+	_ = group.Wait() // followers end with their context and return no error
 }
 
-// relayed returns the topic with its changes also passed on to other processes.
-func (n *Node) relayed(t *cluster.Topic) *cluster.Topic {
+// relayed returns the topic with its changes also kept for other processes.
+func (n *Node) relayed(t *cluster.Topic, wait time.Duration) *cluster.Topic {
+	if n.relay == nil {
+		return t
+	}
+	n.relay.Carry(t.Prefix, wait)
 	return &cluster.Topic{Prefix: t.Prefix, Synced: t.Synced,
 		Changed: func(r kv.Record) {
 			n.relay.Put(t.Prefix, kv.Change{Record: r})
@@ -141,6 +206,9 @@
 }
 
 func (n *Node) versionNamed(r kv.Record) {
+	if n.models == nil {
+		return // this process gives no orders
+	}
 	model, version, err := n.adapter.Keys.NamedVersion(r.Value)
 	if err != nil {
 		events.DeclarationBad.Log(n.log, logrus.Fields{"key": r.Key, "revision": r.Revision, "error": err.Error()})
