Read ended jobs at their owner; find scouts before following the store

Cause: at the start 26 entries followed 46 registrations each (972 watch calls), and readers of ended jobs made 700 reads and 347 listings.

--- a/internal/batchrun/desk.go
+++ b/internal/batchrun/desk.go
@@ -22,9 +22,9 @@
 	writeTries = 3
 	// knownJobs bounds what is remembered of jobs that other processes own.
 	knownJobs = 64
-	// ownerTrust is how long an owner is asked without looking at the record: a
-	// job that moved answers "not mine" at once, so staleness costs one call.
-	ownerTrust = 5 * time.Second
+	// ownerTrust is how long an owner is asked without looking at the record: one
+	// whose job moved answers that it has it no more, so staleness costs one call.
+	ownerTrust = 30 * time.Second
 	// storePoll is the pause between two looks into the store for new results
 	// while the owner does not answer.
 	storePoll = 400 * time.Millisecond
--- a/internal/batchrun/owner.go
+++ b/internal/batchrun/owner.go
@@ -90,7 +90,7 @@
 func (o *Owner) Init() {
 	o.jobs = map[string]*ownedJob{}
 	o.claims = map[string]int64{}
-	o.ended = newEndedJobs()
+	o.ended = newEndedJobs(o.Keep)
 	o.left = batch.NewLeftovers()
 	o.wake = make(chan struct{}, 1)
 	o.stats = stats{
@@ -112,7 +112,7 @@
 	o.lifetime = ctx
 	var listed atomic.Bool
 	marks := &cluster.Follower{Store: o.Store, Failed: o.Lost, Recovered: o.Back, Wait: marksWait, Topic: &cluster.Topic{
-		Prefix:  todoPrefix(o.Name),
+		Prefix: todoPrefix(o.Name),
 		Changed: func(r kv.Record) {
 			afterStart := listed.Load() // of the record, not of the goroutine that takes it in
 			group.Go(func() error { o.marked(ctx, r, afterStart); return nil })
@@ -259,8 +259,8 @@
 	o.kick()
 }
 
-// drop gives a job up whose mark went at a revision: it was ended, or another
-// process owns it.
+// drop gives a job up whose mark went at a revision. What is durable of it is
+// kept for readers.
 func (o *Owner) drop(id string, revision int64) {
 	o.mu.Lock()
 	o.ended.note(id, revision)
@@ -270,38 +270,26 @@
 		return
 	}
 	delete(o.jobs, id)
-	owned.close()
+	settled := owned.close()
 	o.left.Keep(time.Now(), owned.job)
+	if settled {
+		o.ended.keep(time.Now(), owned.job)
+	}
 	o.mu.Unlock()
 	events.JobDropped.Log(o.Log, logrus.Fields{"job": id, "mark": owned.mark, "revision": revision})
 }
 
-// endedJobs remembers at which revision marks went: a job that is still being
-// loaded when its end is told must not begin after it.
-type endedJobs struct{ at map[string]int64 }
-
-// mostEnded bounds it; an entry is of use for the second that loading takes.
-const mostEnded = 256
-
-func newEndedJobs() *endedJobs { return &endedJobs{at: map[string]int64{}} }
-
-func (e *endedJobs) note(id string, revision int64) {
-	if len(e.at) >= mostEnded {
-		e.at = map[string]int64{}
-	}
-	e.at[id] = max(e.at[id], revision)
-}
-
-func (e *endedJobs) since(id string, mark int64) bool { return e.at[id] >= mark }
-
-// close stops the job's runs.
-func (j *ownedJob) close() {
+// close stops the job's runs, and tells whether no write was under way: then
+// the results that are known to be durable are all that will ever be.
+func (j *ownedJob) close() (settled bool) {
 	j.mu.Lock()
+	settled = !j.writing
 	j.job.Close()
 	close(j.readers)
 	j.readers = make(chan struct{})
 	j.mu.Unlock()
 	j.cancel()
+	return settled
 }
 
 func (o *Owner) find(id string) *ownedJob {
@@ -380,7 +368,7 @@
 func (o *Owner) read(ctx context.Context, args ReadArgs) ReadReply {
 	j := o.find(args.Job)
 	if j == nil {
-		return ReadReply{}
+		return o.readEnded(args)
 	}
 	timer := time.NewTimer(args.Wait)
 	defer timer.Stop()
@@ -390,7 +378,7 @@
 		total := j.job.Total()
 		j.mu.Unlock()
 		if closed {
-			return ReadReply{}
+			return o.readEnded(args)
 		}
 		if len(results) > 0 || args.From >= total || args.Wait <= 0 {
 			return ReadReply{Owned: true, Total: total, Results: results}
@@ -405,6 +393,17 @@
 	}
 }
 
+// readEnded answers from what is kept of jobs that ended here.
+func (o *Owner) readEnded(args ReadArgs) ReadReply {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	job := o.ended.results(args.Job)
+	if job == nil {
+		return ReadReply{}
+	}
+	return ReadReply{Owned: true, Gone: true, Total: job.Total(), Results: job.Readable(args.From)}
+}
+
 func (o *Owner) body(args BodyArgs) BodyReply {
 	j := o.find(args.Job)
 	if j == nil {
--- a/internal/batchrun/reading.go
+++ b/internal/batchrun/reading.go
@@ -27,11 +27,12 @@
 	if err != nil {
 		return Reading{}, d.cannotTell(id, err)
 	}
-	if !record.Ended {
-		reply, err := d.askOwner(ctx, record.Owner, id, from, wait)
-		if err == nil && reply.Owned {
-			return Reading{Total: reply.Total, Results: reply.Results}, nil
-		}
+	reply, err := d.askOwner(ctx, record.Owner, id, from, wait)
+	if err == nil && reply.Gone && !record.Ended {
+		reply, err = d.askAgain(ctx, id, from, wait, reply)
+	}
+	if err == nil && reply.Owned {
+		return Reading{Total: reply.Total, Results: reply.Results}, nil
 	}
 	return d.fromStore(ctx, id, from, until)
 }
@@ -87,6 +88,16 @@
 	return reply, nil
 }
 
+// askAgain settles an answer of an owner that no longer has the job: if the job
+// has ended, the answer holds; if it moved, its new owner is asked.
+func (d *Desk) askAgain(ctx context.Context, id string, from int, wait time.Duration, reply ReadReply) (ReadReply, error) {
+	_, record, err := d.fetch(ctx, id)
+	if err != nil || record.Ended {
+		return reply, err
+	}
+	return d.askOwner(ctx, record.Owner, id, from, wait)
+}
+
 func (d *Desk) call(ctx context.Context, owner, method string, wait time.Duration, args, reply any) error {
 	member, found := d.Members.Get(owner)
 	if !found {
--- a/internal/batchrun/rpc.go
+++ b/internal/batchrun/rpc.go
@@ -30,7 +30,8 @@
 
 // ReadReply is an owner's answer.
 type ReadReply struct {
-	Owned   bool // this process has the job
+	Owned   bool // this process has the job, or its results
+	Gone    bool // the job's mark went: it has ended, or it has moved
 	Total   int
 	Results []batch.Result // from the position asked
 }
--- a/internal/cluster/follow.go
+++ b/internal/cluster/follow.go
@@ -32,6 +32,9 @@
 	Topic *Topic
 	// Wait is how long one watch call waits; 0 stands for the shortest.
 	Wait time.Duration
+	// Gather is how long changes are gathered after some came, so that a crowd of
+	// them makes few calls.
+	Gather time.Duration
 	// Heard is called after each call that succeeded, with the revision up to
 	// which everything was told; may be nil.
 	Heard func(asOf int64)
@@ -76,6 +79,9 @@
 	for _, c := range changes.Changes {
 		f.Topic.tell(c)
 	}
+	if len(changes.Changes) > 0 && f.Gather > 0 {
+		sleep(ctx, f.Gather)
+	}
 	return max(asOf, changes.AsOf), nil
 }
 
--- a/internal/cluster/subscribe.go
+++ b/internal/cluster/subscribe.go
@@ -17,6 +17,9 @@
 	// directSpell is how long news are taken from the store itself once no scout
 	// has fresh ones, before the scouts are asked again.
 	directSpell = 4 * time.Second
+	// findScoutsEvery and findScoutsFor bound the look for scouts at the start.
+	findScoutsEvery = 200 * time.Millisecond
+	findScoutsFor   = 2 * time.Second
 	// newsSlack is how much longer than its own wait a call for news may take.
 	newsSlack = 500 * time.Millisecond
 )
@@ -26,11 +29,13 @@
 // Subscriber keeps topics up to date from scouts, or from the store itself while
 // none of them can.
 type Subscriber struct {
-	Store   kv.Shared
-	Topics  []*Topic
-	Members *Members
-	Peers   *rpcpool.Pool
-	Self    Member
+	Store  kv.Shared
+	Topics []*Topic
+	// MembersTopic is the one of Topics that keeps Members up to date.
+	MembersTopic *Topic
+	Members      *Members
+	Peers        *rpcpool.Pool
+	Self         Member
 	// Failed and Recovered tell of the store where it is followed directly.
 	Failed    func(error)
 	Recovered func()
@@ -44,47 +49,43 @@
 // Run keeps the topics up to date until ctx ends.
 func (s *Subscriber) Run(ctx context.Context) error {
 	if !s.Known {
-		s.direct(ctx, true)
-		s.Known = true
+		s.findScouts(ctx)
 	}
 	for ctx.Err() == nil {
 		s.fromScouts(ctx)
 		if ctx.Err() == nil {
-			s.direct(ctx, false)
+			s.direct(ctx)
 		}
 	}
 	return nil
 }
 
-// direct follows the store itself: at the start until everything is known, later
-// for a spell.
-func (s *Subscriber) direct(ctx context.Context, start bool) {
+// findScouts lists the members until there is a scout. Following the store at
+// the start instead, every process would make a call for every endpoint that
+// registers itself, in the seconds in which all of them do.
+func (s *Subscriber) findScouts(ctx context.Context) {
+	for began := time.Now(); time.Since(began) < findScoutsFor && ctx.Err() == nil; sleep(ctx, findScoutsEvery) {
+		page, err := kv.ReadAll(ctx, s.Store, s.MembersTopic.Prefix)
+		if err != nil {
+			continue // the store itself is next, and tells of its failure
+		}
+		s.MembersTopic.listing(page)
+		if len(Scouts(s.Members)) > 0 {
+			return
+		}
+	}
+}
+
+// direct follows the store itself for a spell.
+func (s *Subscriber) direct(ctx context.Context) {
 	s.note("store", nil)
-	spell, cancel := context.WithCancel(ctx)
+	spell, cancel := context.WithTimeout(ctx, directSpell)
 	defer cancel()
-	timer := time.AfterFunc(directSpell, cancel)
-	defer timer.Stop()
-	heard := make(chan struct{}, len(s.Topics))
 	var group errgroup.Group
 	for _, topic := range s.Topics {
-		first := true
-		f := &Follower{Store: s.Store, Topic: topic, Failed: s.Failed, Recovered: s.Recovered, Heard: func(int64) {
-			if first {
-				first = false
-				heard <- struct{}{}
-			}
-		}}
+		f := &Follower{Store: s.Store, Topic: topic, Failed: s.Failed, Recovered: s.Recovered}
 		group.Go(func() error { return f.Run(spell) })
 	}
-	if start {
-		for range s.Topics {
-			select {
-			case <-heard:
-			case <-spell.Done():
-			}
-		}
-		cancel()
-	}
 	_ = group.Wait() // followers end with their context and return no error
 }
 
--- a/internal/node/views.go
+++ b/internal/node/views.go
@@ -55,6 +55,11 @@
 // no bound in seconds, as calls to a process that is gone fail by themselves.
 const membersWait = 6 * time.Second
 
+// gatherList is how long changes of the lists are gathered after some came:
+// endpoints and processes register in crowds, and each answer of a watch is a
+// call. An endpoint that leaves is left alone two seconds later at the latest.
+const gatherList = 150 * time.Millisecond
+
 // scoutLook is how often a worker looks whether it is a scout. A scout that is
 // gone is missed by the others at once, as they ask the next one.
 const scoutLook = 500 * time.Millisecond
@@ -71,20 +76,24 @@
 			group.Go(func() error { n.mover.MemberGone(ctx, name); return nil })
 		}
 	}
-	v := &views{node: n, topics: []followed{{n.relayed(operator, 0), 0}, {n.relayed(endpoints, 0), 0}, {n.relayed(members, membersWait), membersWait}}}
+	v := &views{node: n, members: n.relayed(members, membersWait)}
+	v.topics = []followed{{n.relayed(operator, 0), 0, 0}, {n.relayed(endpoints, 0), 0, gatherList}, {v.members, membersWait, gatherList}}
 	group.Go(func() error { return v.run(ctx) })
 }
 
-// followed is a topic with the wait of its watch.
+// followed is a topic with the wait of its watch and the time for which its
+// changes are gathered.
 type followed struct {
-	topic *cluster.Topic
-	wait  time.Duration
+	topic  *cluster.Topic
+	wait   time.Duration
+	gather time.Duration
 }
 
 // views keeps a process's topics up to date, as a scout or from the scouts.
 type views struct {
-	node   *Node
-	topics []followed
+	node    *Node
+	topics  []followed
+	members *cluster.Topic
 }
 
 func (v *views) run(ctx context.Context) error {
@@ -96,6 +105,7 @@
 	for _, f := range v.topics {
 		s.Topics = append(s.Topics, f.topic)
 	}
+	s.MembersTopic = v.members
 	for ctx.Err() == nil {
 		scout := n.isScout()
 		spell, end := context.WithCancel(ctx)
@@ -148,7 +158,7 @@
 	var group errgroup.Group
 	for _, t := range v.topics {
 		f := &cluster.Follower{
-			Store: n.adapter.Store, Topic: t.topic, Wait: t.wait, Failed: n.storeFailed, Recovered: n.storeBack,
+			Store: n.adapter.Store, Topic: t.topic, Wait: t.wait, Gather: t.gather, Failed: n.storeFailed, Recovered: n.storeBack,
 			Heard: func(asOf int64) { n.relay.Heard(t.topic.Prefix, asOf) },
 		}
 		group.Go(func() error { return f.Run(ctx) })
