Show an owner's results only while it certainly has the job

Cause: an owner that is cut off from the store but answers readers went on showing its own prefix after the job had moved; a process that remembered it asked it for up to 30 s. Found by reading; the spec 'is not read at an owner that was cut off from the store and lost it' fails without the check.

Change: an owner says whether its registration certainly stands; an answer that is not sure counts only if the store does not answer. Owners are found by asking those of the models served today; scouts are waited for at the start.

--- a/internal/batchrun/batchrun_test.go
+++ b/internal/batchrun/batchrun_test.go
@@ -10,6 +10,7 @@
 	"net/rpc"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -120,9 +121,40 @@
 	register *cluster.Registrar
 	listener net.Listener
 	stop     context.CancelFunc
+	cutOff   *atomic.Bool // from the store
 }
 
-func newProcess(name string, store kv.Shared, sender dispatch.Sender) *process {
+// path is a process's path to the store.
+type path struct {
+	kv.Shared
+	cutOff *atomic.Bool
+}
+
+func (p path) Await(ctx context.Context, prefix string, after int64, wait time.Duration) (kv.Changes, error) {
+	changes, err := p.Shared.Await(ctx, prefix, after, wait)
+	if p.cutOff.Load() {
+		return kv.Changes{}, kv.ErrUnavailable
+	}
+	return changes, err
+}
+
+func (p path) ReadPage(ctx context.Context, prefix, after string) (kv.Page, error) {
+	if p.cutOff.Load() {
+		return kv.Page{}, kv.ErrUnavailable
+	}
+	return p.Shared.ReadPage(ctx, prefix, after)
+}
+
+func (p path) Commit(ctx context.Context, t kv.Transaction) (kv.Committed, error) {
+	if p.cutOff.Load() {
+		return kv.Committed{}, kv.ErrUnavailable
+	}
+	return p.Shared.Commit(ctx, t)
+}
+
+func newProcess(name string, shared kv.Shared, sender dispatch.Sender) *process {
+	cutOff := &atomic.Bool{}
+	store := path{shared, cutOff}
 	d := directory.New("", nil)
 	d.Declare(&deployment.Declaration{Version: 1, Routes: []deployment.Route{
 		{Name: "items", Host: "h", Prefix: "/items/", Kind: deployment.Rollout, MaxAttempts: 3, Backends: []deployment.Backend{{Service: "llm", Weight: 1}}},
@@ -132,7 +164,7 @@
 		d.Put(deployment.Endpoint{ID: fmt.Sprintf("llm%d", i), Service: "llm", Address: "x:1", Slots: 8, Versions: map[string]int64{"m": 5}})
 		d.Put(deployment.Endpoint{ID: fmt.Sprintf("app%d", i), Service: "app", Address: "x:2", Slots: 8})
 	}
-	p := &process{name: name, store: store, members: cluster.NewMembers()}
+	p := &process{name: name, store: store, cutOff: cutOff, members: cluster.NewMembers()}
 	p.owner = &batchrun.Owner{Name: name, Store: store, Directory: d, Sender: sender, Log: silent(), Keep: time.Minute, Registry: metrics.NewRegistry()}
 	p.owner.Init()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -383,6 +415,24 @@
 		Eventually(results(other, "j")).WithTimeout(patience).Should(Equal(2))
 	})
 
+	It("is not read at an owner that was cut off from the store and lost it", func() {
+		// The owner answers readers but cannot reach the store. Its registration
+		// lapsed, another process has the job and listed results. A reader whose
+		// process still knows the old owner must get what others have read.
+		llm.hold = make(chan struct{})
+		Expect(a.desk.Submit(context.Background(), spec("j", 2))).To(Succeed())
+		owner, other := owned("j")
+		reader := newProcess("r", store, llm)
+		reader.desk.Members = other.members
+		Expect(results(reader, "j")()).To(Equal(0))
+		owner.owner.Certain = func() bool { return false }
+		owner.cutOff.Store(true)
+		Expect(other.mover.MoveAll(context.Background(), owner.name)).To(Succeed())
+		close(llm.hold)
+		Eventually(results(reader, "j")).WithTimeout(patience).Should(Equal(2))
+		Expect(owner.owner.Jobs()).To(HaveKey("j"), "it does not know")
+	})
+
 	It("is never denied by guess", func() {
 		// Neither its owner nor the store answers a process that never saw the job.
 		Expect(a.desk.Submit(context.Background(), spec("j", 1))).To(Succeed())
--- a/internal/batchrun/desk.go
+++ b/internal/batchrun/desk.go
@@ -38,6 +38,8 @@
 	Local      *Owner
 	Log        *logrus.Logger
 	ValueBytes int
+	// Models returns the models whose jobs there are; may be nil.
+	Models func() []string
 
 	mu    sync.Mutex
 	known map[string]*knownJob
--- a/internal/batchrun/ended.go
+++ b/internal/batchrun/ended.go
@@ -20,11 +20,12 @@
 type endedJobs struct {
 	life time.Duration
 	gone map[string]int64 // revision at which the mark went, by job
+	done map[string]bool  // jobs that are known to have ended, not moved
 	kept []*batch.Job     // with their durable results, oldest first
 }
 
 func newEndedJobs(life time.Duration) *endedJobs {
-	return &endedJobs{life: life, gone: map[string]int64{}}
+	return &endedJobs{life: life, gone: map[string]int64{}, done: map[string]bool{}}
 }
 
 // note remembers that a mark went: a job that is still being loaded then must
@@ -32,10 +33,14 @@
 func (e *endedJobs) note(id string, revision int64) {
 	if len(e.gone) >= mostEnded {
 		e.gone = map[string]int64{}
+		e.done = map[string]bool{}
 	}
 	e.gone[id] = max(e.gone[id], revision)
 }
 
+// end notes that a job was ended.
+func (e *endedJobs) end(id string) { e.done[id] = true }
+
 func (e *endedJobs) since(id string, mark int64) bool { return e.gone[id] >= mark }
 
 // keep keeps the results of a job that was ended, so that readers of it make no
--- a/internal/batchrun/owner.go
+++ b/internal/batchrun/owner.go
@@ -47,6 +47,9 @@
 	Keep      time.Duration // how long results stay readable after submission
 	Registry  metrics.Registry
 
+	// Certain tells whether nobody can have moved this process's jobs unnoticed;
+	// nil: always.
+	Certain func() bool
 	// Adopted is called with each job taken on; may be nil.
 	Adopted func(*batch.Spec)
 	// The store's state as the follower of the marks sees it; may be nil.
@@ -381,7 +384,7 @@
 			return o.readEnded(args)
 		}
 		if len(results) > 0 || args.From >= total || args.Wait <= 0 {
-			return ReadReply{Owned: true, Total: total, Results: results}
+			return ReadReply{Owned: true, Sure: o.sure(), Total: total, Results: results}
 		}
 		select {
 		case <-news:
@@ -393,6 +396,8 @@
 	}
 }
 
+func (o *Owner) sure() bool { return o.Certain == nil || o.Certain() }
+
 // readEnded answers from what is kept of jobs that ended here.
 func (o *Owner) readEnded(args ReadArgs) ReadReply {
 	o.mu.Lock()
@@ -401,7 +406,7 @@
 	if job == nil {
 		return ReadReply{}
 	}
-	return ReadReply{Owned: true, Gone: true, Total: job.Total(), Results: job.Readable(args.From)}
+	return ReadReply{Owned: true, Gone: true, Ended: o.ended.done[args.Job], Total: job.Total(), Results: job.Readable(args.From)}
 }
 
 func (o *Owner) body(args BodyArgs) BodyReply {
--- a/internal/batchrun/reading.go
+++ b/internal/batchrun/reading.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -21,20 +23,87 @@
 // Results returns a job's results from a position on, waiting for some if none
 // are there. ErrNoJob only if the store says so; ErrCannotTell if neither the
 // owner nor the store answers.
+//
+// An owner that lost the store may have lost the job without knowing: asked
+// alone, it would go on showing less than others have read. So an answer that
+// is not sure counts only where the store does not answer either.
 func (d *Desk) Results(ctx context.Context, id string, from int, wait time.Duration) (Reading, error) {
 	until := time.Now().Add(wait)
-	record, err := d.record(ctx, id)
+	reply := d.fromOwner(ctx, id, from, wait)
+	if reply.current() {
+		return reading(reply), nil
+	}
+	stored, err := d.fromStore(ctx, id, from, until)
+	if errors.Is(err, ErrCannotTell) && reply.Owned {
+		return reading(reply), nil
+	}
+	return stored, err
+}
+
+func reading(reply ReadReply) Reading { return Reading{Total: reply.Total, Results: reply.Results} }
+
+// fromOwner asks the job's owner as far as it is known or can be guessed. The
+// zero answer stands for none.
+func (d *Desk) fromOwner(ctx context.Context, id string, from int, wait time.Duration) ReadReply {
+	known := d.snapshot(id)
+	if known == nil {
+		owner, found := d.locate(ctx, id)
+		if !found {
+			return ReadReply{}
+		}
+		known = &knownJob{record: jobRecord{Owner: owner}}
+	}
+	reply, err := d.askOwner(ctx, known.record.Owner, id, from, wait)
 	if err != nil {
-		return Reading{}, d.cannotTell(id, err)
+		return ReadReply{}
+	}
+	reply.Ended = reply.Ended || reply.Gone && known.record.Ended
+	return reply
+}
+
+// locate finds a job's owner among those that own the jobs of the models served
+// today, so that the many processes at which a job is read make no call to the
+// store for it.
+func (d *Desk) locate(ctx context.Context, id string) (owner string, found bool) {
+	candidates := d.candidates()
+	if len(candidates) == 0 {
+		return "", false
+	}
+	type located struct {
+		owner string
+		reply ReadReply
+	}
+	answers := make(chan located, len(candidates))
+	for _, name := range candidates {
+		go func() {
+			reply, err := d.askOwner(ctx, name, id, math.MaxInt, 0) // past the end: no results
+			if err != nil {
+				reply = ReadReply{}
+			}
+			answers <- located{name, reply}
+		}()
 	}
-	reply, err := d.askOwner(ctx, record.Owner, id, from, wait)
-	if err == nil && reply.Gone && !record.Ended {
-		reply, err = d.askAgain(ctx, id, from, wait, reply)
+	for range candidates {
+		if a := <-answers; a.reply.current() {
+			d.remember(id, jobRecord{Owner: a.owner, Total: a.reply.Total, Ended: a.reply.Ended})
+			return a.owner, true
+		}
+	}
+	return "", false
+}
+
+func (d *Desk) candidates() []string {
+	owners := d.Members.Owners()
+	if d.Models == nil || len(owners) == 0 {
+		return nil
 	}
-	if err == nil && reply.Owned {
-		return Reading{Total: reply.Total, Results: reply.Results}, nil
+	var names []string
+	for _, model := range d.Models() {
+		if name := ownerFor(model, owners); !slices.Contains(names, name) {
+			names = append(names, name)
+		}
 	}
-	return d.fromStore(ctx, id, from, until)
+	return names
 }
 
 func (d *Desk) cannotTell(id string, err error) error {
@@ -88,16 +157,6 @@
 	return reply, nil
 }
 
-// askAgain settles an answer of an owner that no longer has the job: if the job
-// has ended, the answer holds; if it moved, its new owner is asked.
-func (d *Desk) askAgain(ctx context.Context, id string, from int, wait time.Duration, reply ReadReply) (ReadReply, error) {
-	_, record, err := d.fetch(ctx, id)
-	if err != nil || record.Ended {
-		return reply, err
-	}
-	return d.askOwner(ctx, record.Owner, id, from, wait)
-}
-
 func (d *Desk) call(ctx context.Context, owner, method string, wait time.Duration, args, reply any) error {
 	member, found := d.Members.Get(owner)
 	if !found {
@@ -127,8 +186,8 @@
 			return Reading{Total: record.Total, Results: results}, nil
 		}
 		pause(ctx, storePoll)
-		if reply, err := d.askOwner(ctx, record.Owner, id, from, max(0, time.Until(until))); err == nil && reply.Owned {
-			return Reading{Total: reply.Total, Results: reply.Results}, nil
+		if reply, err := d.askOwner(ctx, record.Owner, id, from, max(0, time.Until(until))); err == nil && reply.current() {
+			return reading(reply), nil
 		}
 	}
 }
--- a/internal/batchrun/rpc.go
+++ b/internal/batchrun/rpc.go
@@ -32,10 +32,15 @@
 type ReadReply struct {
 	Owned   bool // this process has the job, or its results
 	Gone    bool // the job's mark went: it has ended, or it has moved
+	Ended   bool // it is known to have ended
+	Sure    bool // nobody can have moved the job unnoticed
 	Total   int
 	Results []batch.Result // from the position asked
 }
 
+// current tells whether the answer holds all that any reader may have seen.
+func (r *ReadReply) current() bool { return r.Owned && (r.Ended || r.Sure && !r.Gone) }
+
 // BodyArgs asks an owner for an item's body.
 type BodyArgs struct {
 	Job  string
@@ -79,7 +84,7 @@
 
 // Ended implements the call of that name: the job was ended.
 func (s *Service) Ended(args MarkArgs, _ *struct{}) error {
-	s.owner.drop(args.Job, args.Revision)
+	s.owner.take(callEnded, args)
 	return nil
 }
 
@@ -90,4 +95,7 @@
 		return
 	}
 	o.drop(args.Job, args.Revision)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.ended.end(args.Job)
 }
--- a/internal/cluster/members.go
+++ b/internal/cluster/members.go
@@ -29,6 +29,9 @@
 	// renewShare of a lease's time passes between renewals, so that two may be
 	// lost before it lapses.
 	renewShare = 0.3
+	// certainShare of a lease's time after its last proof it cannot have lapsed,
+	// whatever the clocks' drift.
+	certainShare = 0.9
 	// registerRetry is the pause after a registration that failed.
 	registerRetry = 300 * time.Millisecond
 )
@@ -120,6 +123,8 @@
 	mu       sync.Mutex
 	lease    kv.LeaseID
 	leaving  bool
+	proven   time.Time     // the store last confirmed the lease, counted from the call's start
+	listed   bool          // the registration was seen in the list, and not its end
 	again    chan struct{} // the registration must be made anew
 }
 
@@ -143,6 +148,9 @@
 		return
 	}
 	r.Members.put(member)
+	if member.Name == r.Self.Name {
+		r.setListed(true)
+	}
 	events.MemberListed.Log(r.Log, logrus.Fields{"member": member.Name, "leaving": member.Leaving, "revision": record.Revision})
 }
 
@@ -157,6 +165,7 @@
 	r.Members.remove(name)
 	events.MemberGone.Log(r.Log, logrus.Fields{"member": name, "revision": revision})
 	if name == r.Self.Name {
+		r.setListed(false)
 		events.MemberLapsed.Log(r.Log, logrus.Fields{"member": name})
 		r.anew()
 	}
@@ -208,14 +217,40 @@
 		}
 		return renew
 	}
-	if err := r.Store.KeepLease(ctx, lease); errors.Is(err, kv.ErrLeaseNotFound) {
+	began := time.Now()
+	err := r.Store.KeepLease(ctx, lease)
+	if errors.Is(err, kv.ErrLeaseNotFound) {
 		r.forget()
 		return 0
 	}
+	if err == nil {
+		r.prove(began)
+	}
 	return renew // an unanswered renewal is repeated in time for the next
 }
 
+func (r *Registrar) prove(at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.proven = at
+}
+
+// Certain tells whether this process's registration certainly stands: nobody
+// moves its jobs before it lapses.
+func (r *Registrar) Certain() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.listed && time.Since(r.proven) < time.Duration(certainShare*float64(r.TTL))
+}
+
+func (r *Registrar) setListed(listed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.listed = listed
+}
+
 func (r *Registrar) register(ctx context.Context, leaving bool) error {
+	began := time.Now()
 	lease, _, err := r.Store.GrantLease(ctx, r.TTL)
 	if err != nil {
 		return err
@@ -224,7 +259,7 @@
 		return err
 	}
 	r.mu.Lock()
-	r.lease = lease
+	r.lease, r.proven = lease, began
 	r.mu.Unlock()
 	events.MemberRegistered.Log(r.Log, logrus.Fields{"member": r.Self.Name, "lease": lease})
 	return nil
--- a/internal/cluster/subscribe.go
+++ b/internal/cluster/subscribe.go
@@ -51,9 +51,14 @@
 	if !s.Known {
 		s.findScouts(ctx)
 	}
+	began := time.Now()
 	for ctx.Err() == nil {
 		s.fromScouts(ctx)
-		if ctx.Err() == nil {
+		switch {
+		case ctx.Err() != nil:
+		case !s.Known && time.Since(began) < findScoutsFor:
+			sleep(ctx, findScoutsEvery) // the scouts have just started as well
+		default:
 			s.direct(ctx)
 		}
 	}
@@ -126,6 +131,7 @@
 			return errStaleNews
 		}
 		s.take(reply)
+		s.Known = true
 		args.Boot, args.Seq = reply.Boot, reply.Seq
 		if current, listed := s.Members.Get(worker.Name); !listed || current.Leaving {
 			return errors.New("cluster: worker leaves")
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -4,6 +4,8 @@
 package directory
 
 import (
+	"slices"
+	"sort"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -53,6 +55,20 @@
 	}
 }
 
+// Models returns the models that declared services serve, sorted.
+func (d *Directory) Models() []string {
+	table := d.table.Load()
+	if table == nil {
+		return nil
+	}
+	var models []string
+	for _, service := range table.Declaration.Services {
+		models = append(models, service.Models...)
+	}
+	sort.Strings(models)
+	return slices.Compact(models)
+}
+
 // Put takes in an endpoint as listed.
 func (d *Directory) Put(e deployment.Endpoint) {
 	d.mu.Lock()
--- a/internal/modelrun/modelrun.go
+++ b/internal/modelrun/modelrun.go
@@ -66,7 +66,7 @@
 
 	mu       sync.Mutex
 	named    map[string]int64
-	needed   map[string]NeedArgs // newest step by model
+	needed   map[string]NeedArgs           // newest step by model
 	planners map[string]*modelplan.Planner // by service
 	accepted map[engineKey]int64           // orders accepted, as far as known
 	orders   errgroup.Group
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -128,9 +128,10 @@
 	n.registrar = cluster.NewRegistrar(a.Store, self, ttl, n.members, log)
 	n.owner = &batchrun.Owner{Name: s.ID, Store: a.Store, Directory: n.directory, Sender: a.Sender, Log: log, Keep: s.KeepResults, Registry: registry, Lost: n.storeFailed, Back: n.storeBack}
 	n.owner.Init()
-	n.desk = &batchrun.Desk{Store: a.Store, Members: n.members, Peers: rpcpool.New(netdial.Dial), Local: n.owner, Log: log, ValueBytes: s.ValueBytes}
+	n.desk = &batchrun.Desk{Store: a.Store, Members: n.members, Peers: rpcpool.New(netdial.Dial), Local: n.owner, Log: log, ValueBytes: s.ValueBytes, Models: n.directory.Models}
 	n.mover = &batchrun.Mover{Self: s.ID, Store: a.Store, Members: n.members, Log: log, Unsettled: n.trouble.recent, Tell: n.desk.TellMoved}
 	n.gate = gate.New(n.directory, a.Sender, log, registry)
+	n.owner.Certain = n.registrar.Certain
 	peers := n.desk.Peers
 	n.owner.Adopted = func(spec *batch.Spec) {
 		modelrun.Tell(context.Background(), n.members, peers, modelrun.NeedArgs{Model: spec.Model, Version: spec.MinVersion, Items: len(spec.Items)})
