Complete texts cut after their last event; move runs off slow engines

The spec 'completes a text whose stream broke off after its last event' failed before the change.

Change: an empty stream completes a resumed text; a run that is 1.8 times slower than usual goes on at a faster engine that is free; topics are listed from the store once at the start; watches wait 1 s.

--- a/internal/batchrun/batchrun_test.go
+++ b/internal/batchrun/batchrun_test.go
@@ -41,6 +41,7 @@
 	resumed []int64        // where runs went on
 	hold    chan struct{}  // closed: events after the second may be sent; nil: no pause
 	breaks  int            // runs that break off after two events, from now on
+	cutEnds int            // runs that break off after their last event, from now on
 }
 
 // Send implements dispatch.Sender.
@@ -55,19 +56,27 @@
 		e.breaks--
 		broken = true
 	}
+	cutEnd := e.cutEnds > 0 && !strings.HasPrefix(r.Target, "/score/")
+	if cutEnd {
+		e.cutEnds--
+	}
 	e.mu.Unlock()
+	if r.Resume >= events {
+		// Nothing is left to generate, so no weights are named.
+		return &dispatch.Answer{Status: http.StatusOK, Signed: true, Body: io.NopCloser(strings.NewReader(""))}, nil
+	}
 	answer := &dispatch.Answer{Status: http.StatusOK, Signed: true, Seal: "seal-" + r.ID, Version: 5}
 	if strings.HasPrefix(r.Target, "/score/") {
 		answer.Body = io.NopCloser(strings.NewReader("scored"))
 		return answer, nil
 	}
 	read, write := io.Pipe()
-	go stream(ctx, write, r.Resume, hold, broken)
+	go stream(ctx, write, r.Resume, hold, broken, cutEnd)
 	answer.Body = read
 	return answer, nil
 }
 
-func stream(ctx context.Context, w *io.PipeWriter, after int64, hold chan struct{}, broken bool) {
+func stream(ctx context.Context, w *io.PipeWriter, after int64, hold chan struct{}, broken, cutEnd bool) {
 	for id := after + 1; id <= events; id++ {
 		if id > 2 && broken {
 			_ = w.CloseWithError(io.ErrUnexpectedEOF)
@@ -85,6 +94,10 @@
 			return
 		}
 	}
+	if cutEnd {
+		_ = w.CloseWithError(io.ErrUnexpectedEOF)
+		return
+	}
 	_ = w.Close()
 }
 
@@ -380,6 +393,19 @@
 		Expect(llm.resumed).To(Equal([]int64{2}))
 	})
 
+	It("completes a text whose stream broke off after its last event", func() {
+		// Every event came, then the connection was cut. Resumed after the last event,
+		// the engine has nothing to add and ends the stream; taken for a failure, the
+		// item was asked again and again until its trainer gave up.
+		llm.cutEnds = 1
+		Expect(a.desk.Submit(context.Background(), spec("j", 1))).To(Succeed())
+		Eventually(results(a, "j")).WithTimeout(patience).Should(Equal(1))
+		all, err := readAll(a.desk, "j")
+		Expect(err).NotTo(HaveOccurred())
+		checkResults(all)
+		Expect(llm.resumed).To(Equal([]int64{4}))
+	})
+
 	It("stops when it is ended, and its texts go on in the next job", func() {
 		llm.hold = make(chan struct{})
 		Expect(a.desk.Submit(context.Background(), spec("j", 2))).To(Succeed())
--- /dev/null
+++ b/internal/batchrun/itemrun.go
@@ -0,0 +1,184 @@
+package batchrun
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"siskinloom.example/siskinloom/internal/directory"
+	"siskinloom.example/siskinloom/internal/dispatch"
+	"siskinloom.example/siskinloom/internal/policy/batch"
+	"siskinloom.example/siskinloom/internal/policy/endpoints"
+	"siskinloom.example/siskinloom/internal/upstream"
+)
+
+const (
+	// paceEvents is how many events of a run show its pace.
+	paceEvents = 8
+	// lookEvents is every how many events a run looks for a faster engine.
+	lookEvents = 4
+)
+
+var (
+	errFellSilent = errors.New("batchrun: engine fell silent")
+	errTooSlow    = errors.New("batchrun: engine is slow and others are free")
+)
+
+// itemRun is one run of an item at one engine.
+type itemRun struct {
+	owner *Owner
+	job   *ownedJob
+	start batch.Start
+	pick  *directory.Pick
+	began time.Time
+	made  int // events
+	pace  pace
+}
+
+// engineFor returns what an item asks of its engine.
+func engineFor(spec *batch.Spec, start batch.Start, now time.Time) endpoints.Request {
+	return endpoints.Request{Now: now, Model: spec.Model, MinVersion: spec.MinVersion, Version: start.Single, Within: true}
+}
+
+func (r *itemRun) generate() (batch.RunEnd, endpoints.Outcome, error) {
+	ctx, cancel := context.WithCancelCause(r.job.ctx)
+	defer cancel(nil)
+	silence := time.AfterFunc(firstEventLimit, func() { cancel(errFellSilent) })
+	defer silence.Stop()
+	answer, err := r.owner.Sender.Send(ctx, &r.pick.Endpoint, itemRequest(r.job.job.Spec, r.start))
+	if err != nil {
+		return brokenRun(ctx, err)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if how, outcome, done := refusedRun(answer, r.start); done {
+		return how, outcome, errors.Errorf("status %d", answer.Status)
+	}
+	return r.read(ctx, dispatch.NewEvents(answer), silence)
+}
+
+// read takes in events until the stream ends or the run is better ended.
+func (r *itemRun) read(ctx context.Context, in *dispatch.Events, silence *time.Timer) (batch.RunEnd, endpoints.Outcome, error) {
+	for {
+		event, err := in.Next()
+		if errors.Is(err, io.EOF) {
+			return batch.RunComplete, endpoints.Answered, nil
+		}
+		if err != nil {
+			return brokenRun(ctx, &upstream.SendError{Sent: true, Err: err})
+		}
+		silence.Reset(gapLimit)
+		if !r.take(event) {
+			return batch.RunOffVersion, endpoints.Dropped, errors.Errorf("event %d of version %d does not continue the text", event.ID, event.Version)
+		}
+		if r.tooSlow() {
+			return batch.RunMoved, endpoints.Answered, errTooSlow
+		}
+	}
+}
+
+// take takes in an event. One without a weight version cannot be labelled; only
+// a stream with nothing left to generate names none.
+func (r *itemRun) take(event dispatch.Event) bool {
+	if event.Version <= 0 {
+		return false
+	}
+	r.made++
+	r.pace.event(time.Now())
+	r.job.mu.Lock()
+	defer r.job.mu.Unlock()
+	return r.job.job.Event(r.start.Index, event.ID, event.Data, event.Version)
+}
+
+// tooSlow tells whether the item would be done sooner elsewhere. An engine that
+// turned slow holds up the whole group of an item, though reading the text in
+// at another one takes some 10 ms.
+func (r *itemRun) tooSlow() bool {
+	if r.made < paceEvents || r.made%lookEvents != 0 {
+		return false
+	}
+	return r.pick.Faster(engineFor(r.job.job.Spec, r.start, time.Now()), r.pace.recent())
+}
+
+// pace is how fast events come, from the first one on.
+type pace struct {
+	first, last time.Time
+	gaps        int
+	mean        float64 // running mean of the seconds between events
+}
+
+// paceWeight is the share of a new gap in the running mean.
+const paceWeight = 0.2
+
+func (p *pace) event(now time.Time) {
+	if p.first.IsZero() {
+		p.first, p.last = now, now
+		return
+	}
+	gap := now.Sub(p.last).Seconds()
+	p.last = now
+	p.gaps++
+	if p.gaps == 1 {
+		p.mean = gap
+		return
+	}
+	p.mean += (gap - p.mean) * paceWeight
+}
+
+// recent returns the seconds that an event takes by now.
+func (p *pace) recent() float64 { return p.mean }
+
+// observed returns the seconds that an event takes, if enough have come to show
+// the engine's speed.
+func (p *pace) observed() (float64, bool) { return p.mean, p.gaps >= paceEvents }
+
+func itemRequest(spec *batch.Spec, start batch.Start) *dispatch.Request {
+	item := &spec.Items[start.Index]
+	header := http.Header{}
+	for _, pair := range item.Header {
+		header.Add(pair[0], pair[1])
+	}
+	left := boundlessLeft
+	if !spec.Expires.IsZero() {
+		left = max(time.Second, time.Until(spec.Expires))
+	}
+	return &dispatch.Request{
+		ID: item.ID, Method: http.MethodPost, Target: item.Path, Host: spec.Host, Header: header, Body: item.Body,
+		Left: left, Resume: start.After, Version: start.Single, Urgency: min(9, max(0, spec.Priority)+1),
+	}
+}
+
+// refusedRun weighs an answer that is no stream of events.
+func refusedRun(a *dispatch.Answer, start batch.Start) (batch.RunEnd, endpoints.Outcome, bool) {
+	switch {
+	case a.Replaced && start.Single != 0:
+		return batch.RunOffVersion, endpoints.Refused, true
+	case a.Replaced:
+		return batch.RunRefused, endpoints.Replaced, true
+	case a.NotRun:
+		return batch.RunRefused, endpoints.Refused, true
+	case a.Status == http.StatusUnprocessableEntity:
+		return batch.RunImpossible, endpoints.Answered, true
+	case a.Status == http.StatusInternalServerError:
+		return batch.RunFailed, endpoints.Answered, true
+	case a.Status != http.StatusOK || a.Encoded || !a.Signed:
+		return batch.RunBroke, endpoints.Broke, true
+	}
+	return 0, 0, false
+}
+
+func brokenRun(ctx context.Context, err error) (batch.RunEnd, endpoints.Outcome, error) {
+	var send *upstream.SendError
+	switch {
+	case errors.Is(context.Cause(ctx), errFellSilent):
+		return batch.RunBroke, endpoints.Unreached, errFellSilent
+	case ctx.Err() != nil:
+		return batch.RunBroke, endpoints.Dropped, err
+	case errors.As(err, &send) && !send.Sent:
+		return batch.RunRefused, endpoints.Unreached, err
+	default:
+		return batch.RunBroke, endpoints.Broke, err
+	}
+}
--- a/internal/batchrun/owner.go
+++ b/internal/batchrun/owner.go
@@ -50,6 +50,7 @@
 	// Certain tells whether nobody can have moved this process's jobs unnoticed;
 	// nil: always.
 	Certain func() bool
+	Moves   bool
 	// Adopted is called with each job taken on; may be nil.
 	Adopted func(*batch.Spec)
 	// The store's state as the follower of the marks sees it; may be nil.
@@ -72,6 +73,7 @@
 	listed  metrics.Counter
 	aborted metrics.Counter
 	broken  metrics.Counter
+	moved   metrics.Counter
 	sample  metrics.Timer // from submission to listing
 }
 
@@ -99,6 +101,7 @@
 	o.stats = stats{
 		listed:  metrics.GetOrRegisterCounter("batch.items.listed", o.Registry),
 		aborted: metrics.GetOrRegisterCounter("batch.items.aborted", o.Registry),
+		moved:   metrics.GetOrRegisterCounter("batch.runs.moved", o.Registry),
 		broken:  metrics.GetOrRegisterCounter("batch.runs.broken", o.Registry),
 		sample:  metrics.GetOrRegisterTimer("batch.item", o.Registry),
 	}
--- a/internal/batchrun/runs.go
+++ b/internal/batchrun/runs.go
@@ -35,8 +35,6 @@
 	boundlessLeft = time.Minute
 )
 
-var errFellSilent = errors.New("batchrun: engine fell silent")
-
 // startRuns starts items for as long as engines have room.
 func (o *Owner) startRuns(j *ownedJob) {
 	table := o.Directory.Table()
@@ -63,7 +61,7 @@
 			j.postpone(start.Index, now.Add(noEnginePause))
 			return
 		}
-		o.runs.Go(func() error { o.run(j, start, pick, route.Priority); return nil })
+		o.runs.Go(func() error { o.run(j, start, pick); return nil })
 	}
 }
 
@@ -74,7 +72,7 @@
 }
 
 func (o *Owner) pickEngine(j *ownedJob, service string, start batch.Start, now time.Time) *directory.Pick {
-	request := endpoints.Request{Now: now, Model: j.job.Spec.Model, MinVersion: j.job.Spec.MinVersion, Version: start.Single, Within: true}
+	request := engineFor(j.job.Spec, start, now)
 	if start.Last != "" {
 		request.Tried = []string{start.Last}
 		if pick := o.Directory.Pick(service, request); pick != nil {
@@ -86,29 +84,36 @@
 }
 
 // run has one engine generate an item's text from where it stands.
-func (o *Owner) run(j *ownedJob, start batch.Start, pick *directory.Pick, priority int) {
-	began := time.Now()
-	how, outcome, made, err := o.generate(j, start, pick, priority)
+func (o *Owner) run(j *ownedJob, start batch.Start, pick *directory.Pick) {
+	r := &itemRun{owner: o, job: j, start: start, pick: pick, began: time.Now()}
+	how, outcome, err := r.generate()
 	now := time.Now()
-	pick.End(now, outcome, now.Sub(began), float64(made))
+	if seconds, known := r.pace.observed(); known {
+		pick.Pace(seconds)
+	}
+	pick.End(now, outcome, now.Sub(r.began), float64(r.made))
 	j.mu.Lock()
 	j.job.Ended(now, start.Index, how, pick.ID)
 	j.mu.Unlock()
 	if j.ctx.Err() == nil {
-		o.noteRun(j, start, pick, how, made, now.Sub(began), err)
+		o.noteRun(r, how, now.Sub(r.began), err)
 	}
 	o.kick()
 }
 
-var runEnds = [...]string{"complete", "broke", "refused", "failed", "impossible", "off-version"}
+var runEnds = [...]string{"complete", "broke", "refused", "failed", "impossible", "off-version", "moved"}
 
-func (o *Owner) noteRun(j *ownedJob, start batch.Start, pick *directory.Pick, how batch.RunEnd, made int, took time.Duration, err error) {
-	if how == batch.RunBroke {
+func (o *Owner) noteRun(r *itemRun, how batch.RunEnd, took time.Duration, err error) {
+	switch how {
+	case batch.RunBroke:
 		o.stats.broken.Inc(1)
+	case batch.RunMoved:
+		o.stats.moved.Inc(1)
 	}
+	spec := r.job.job.Spec
 	fields := logrus.Fields{
-		"job": j.id, "request": j.job.Spec.Items[start.Index].ID, "endpoint": pick.ID, "end": runEnds[how], "events": made,
-		"after_event": start.After, "version": pick.Versions[j.job.Spec.Model], "ms": took.Milliseconds(),
+		"job": r.job.id, "request": spec.Items[r.start.Index].ID, "endpoint": r.pick.ID, "end": runEnds[how], "events": r.made,
+		"after_event": r.start.After, "version": r.pick.Versions[spec.Model], "ms": took.Milliseconds(),
 	}
 	if err != nil {
 		fields["error"] = err.Error()
@@ -116,87 +121,6 @@
 	events.ItemRunEnded.Log(o.Log, fields)
 }
 
-func (o *Owner) generate(j *ownedJob, start batch.Start, pick *directory.Pick, priority int) (batch.RunEnd, endpoints.Outcome, int, error) {
-	ctx, cancel := context.WithCancelCause(j.ctx)
-	defer cancel(nil)
-	silence := time.AfterFunc(firstEventLimit, func() { cancel(errFellSilent) })
-	defer silence.Stop()
-	answer, err := o.Sender.Send(ctx, &pick.Endpoint, itemRequest(j.job.Spec, start, priority))
-	if err != nil {
-		return o.brokenRun(ctx, err, 0)
-	}
-	defer func() { _ = answer.Body.Close() }()
-	if how, outcome, done := refusedRun(answer, start); done {
-		return how, outcome, 0, errors.Errorf("status %d", answer.Status)
-	}
-	in := dispatch.NewEvents(answer)
-	for made := 0; ; made++ {
-		event, err := in.Next()
-		if errors.Is(err, io.EOF) {
-			return batch.RunComplete, endpoints.Answered, made, nil
-		}
-		if err != nil {
-			return o.brokenRun(ctx, &upstream.SendError{Sent: true, Err: err}, made)
-		}
-		silence.Reset(gapLimit)
-		j.mu.Lock()
-		fits := j.job.Event(start.Index, event.ID, event.Data, event.Version)
-		j.mu.Unlock()
-		if !fits {
-			return batch.RunOffVersion, endpoints.Dropped, made, errors.Errorf("event %d of version %d does not continue the text", event.ID, event.Version)
-		}
-	}
-}
-
-func itemRequest(spec *batch.Spec, start batch.Start, priority int) *dispatch.Request {
-	item := &spec.Items[start.Index]
-	header := http.Header{}
-	for _, pair := range item.Header {
-		header.Add(pair[0], pair[1])
-	}
-	left := boundlessLeft
-	if !spec.Expires.IsZero() {
-		left = max(time.Second, time.Until(spec.Expires))
-	}
-	return &dispatch.Request{
-		ID: item.ID, Method: http.MethodPost, Target: item.Path, Host: spec.Host, Header: header, Body: item.Body,
-		Left: left, Resume: start.After, Version: start.Single, Urgency: min(9, max(0, priority)+1),
-	}
-}
-
-// refusedRun weighs an answer that is no stream of events.
-func refusedRun(a *dispatch.Answer, start batch.Start) (batch.RunEnd, endpoints.Outcome, bool) {
-	switch {
-	case a.Replaced && start.Single != 0:
-		return batch.RunOffVersion, endpoints.Refused, true
-	case a.Replaced:
-		return batch.RunRefused, endpoints.Replaced, true
-	case a.NotRun:
-		return batch.RunRefused, endpoints.Refused, true
-	case a.Status == http.StatusUnprocessableEntity:
-		return batch.RunImpossible, endpoints.Answered, true
-	case a.Status == http.StatusInternalServerError:
-		return batch.RunFailed, endpoints.Answered, true
-	case a.Status != http.StatusOK || a.Encoded || !a.Signed || a.Version == 0:
-		return batch.RunBroke, endpoints.Broke, true
-	}
-	return 0, 0, false
-}
-
-func (o *Owner) brokenRun(ctx context.Context, err error, made int) (batch.RunEnd, endpoints.Outcome, int, error) {
-	var send *upstream.SendError
-	switch {
-	case errors.Is(context.Cause(ctx), errFellSilent):
-		return batch.RunBroke, endpoints.Unreached, made, errFellSilent
-	case ctx.Err() != nil:
-		return batch.RunBroke, endpoints.Dropped, made, err
-	case errors.As(err, &send) && !send.Sent:
-		return batch.RunRefused, endpoints.Unreached, made, err
-	default:
-		return batch.RunBroke, endpoints.Broke, made, err
-	}
-}
-
 // startScores starts scoring calls for finished texts.
 func (o *Owner) startScores(j *ownedJob) {
 	table := o.Directory.Table()
--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -186,7 +186,7 @@
 		}
 		Eventually(func() int { return len(members.Live()) }).WithTimeout(patience).Should(Equal(len(workers)))
 		s := &cluster.Subscriber{
-			Store: own, Topics: []*cluster.Topic{v.topic("p/")}, MembersTopic: registrar.Topic(), Members: members, Peers: rpcpool.New(nil), Self: cluster.Member{Name: "self"},
+			Store: own, Topics: []*cluster.Topic{v.topic("p/")}, Members: members, Peers: rpcpool.New(nil), Self: cluster.Member{Name: "self"},
 			Source: func(name string, _ error) {
 				mu.Lock()
 				defer mu.Unlock()
--- a/internal/cluster/follow.go
+++ b/internal/cluster/follow.go
@@ -16,9 +16,11 @@
 const (
 	// watchWait is how long one watch call waits. A store that dropped history
 	// which a waiting watch had not heard says so only at the next change, so a
-	// declaration would be missed until another one comes. Asking anew every two
-	// seconds finds it; longer waits would save calls and break the bound.
-	watchWait = 2 * time.Second
+	// declaration would be missed until another one comes; asking anew finds it.
+	// And a scout that is cut off from the store passes old news on for as long.
+	// Declarations and leaving endpoints have two seconds; longer waits would save
+	// calls and break that.
+	watchWait = time.Second
 	// firstRetry and mostRetry bound the pause after a failed call. A store that
 	// is back must be noticed within the second that new declarations have to
 	// spare, and one that is down is not worth more calls than that.
--- a/internal/cluster/relay.go
+++ b/internal/cluster/relay.go
@@ -20,7 +20,7 @@
 	// freshSlack is how much longer than its watch waits a topic may be without a
 	// word from the store and still be passed on. Declarations have two seconds to
 	// be in force, which leaves a process that lost the store no more.
-	freshSlack = 500 * time.Millisecond
+	freshSlack = 300 * time.Millisecond
 	// relayWait is how long a call for news waits.
 	relayWait = 2 * time.Second
 )
--- a/internal/cluster/subscribe.go
+++ b/internal/cluster/subscribe.go
@@ -17,9 +17,10 @@
 	// directSpell is how long news are taken from the store itself once no scout
 	// has fresh ones, before the scouts are asked again.
 	directSpell = 4 * time.Second
-	// findScoutsEvery and findScoutsFor bound the look for scouts at the start.
-	findScoutsEvery = 200 * time.Millisecond
-	findScoutsFor   = 2 * time.Second
+	// scoutsStart is how long after its own start a process waits for scouts that
+	// have just started as well, asking them every askAgainEvery.
+	scoutsStart   = 1500 * time.Millisecond
+	askAgainEvery = 200 * time.Millisecond
 	// newsSlack is how much longer than its own wait a call for news may take.
 	newsSlack = 500 * time.Millisecond
 )
@@ -29,13 +30,11 @@
 // Subscriber keeps topics up to date from scouts, or from the store itself while
 // none of them can.
 type Subscriber struct {
-	Store  kv.Shared
-	Topics []*Topic
-	// MembersTopic is the one of Topics that keeps Members up to date.
-	MembersTopic *Topic
-	Members      *Members
-	Peers        *rpcpool.Pool
-	Self         Member
+	Store   kv.Shared
+	Topics  []*Topic
+	Members *Members
+	Peers   *rpcpool.Pool
+	Self    Member
 	// Failed and Recovered tell of the store where it is followed directly.
 	Failed    func(error)
 	Recovered func()
@@ -48,16 +47,14 @@
 
 // Run keeps the topics up to date until ctx ends.
 func (s *Subscriber) Run(ctx context.Context) error {
-	if !s.Known {
-		s.findScouts(ctx)
-	}
+	s.listAll(ctx)
 	began := time.Now()
 	for ctx.Err() == nil {
 		s.fromScouts(ctx)
 		switch {
 		case ctx.Err() != nil:
-		case !s.Known && time.Since(began) < findScoutsFor:
-			sleep(ctx, findScoutsEvery) // the scouts have just started as well
+		case !s.Known && time.Since(began) < scoutsStart:
+			sleep(ctx, askAgainEvery) // the scouts have just started as well
 		default:
 			s.direct(ctx)
 		}
@@ -65,19 +62,25 @@
 	return nil
 }
 
-// findScouts lists the members until there is a scout. Following the store at
-// the start instead, every process would make a call for every endpoint that
-// registers itself, in the seconds in which all of them do.
-func (s *Subscriber) findScouts(ctx context.Context) {
-	for began := time.Now(); time.Since(began) < findScoutsFor && ctx.Err() == nil; sleep(ctx, findScoutsEvery) {
-		page, err := kv.ReadAll(ctx, s.Store, s.MembersTopic.Prefix)
-		if err != nil {
-			continue // the store itself is next, and tells of its failure
-		}
-		s.MembersTopic.listing(page)
-		if len(Scouts(s.Members)) > 0 {
-			return
-		}
+// listAll lists every topic once from the store, unless they are known. To go on
+// following the store at the start would cost each process a call for every
+// endpoint that registers itself, in the seconds in which all of them do.
+func (s *Subscriber) listAll(ctx context.Context) {
+	if s.Known {
+		return
+	}
+	var group errgroup.Group
+	for _, topic := range s.Topics {
+		group.Go(func() error {
+			page, err := kv.ReadAll(ctx, s.Store, topic.Prefix)
+			if err == nil {
+				topic.listing(page)
+			}
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil && s.Failed != nil && ctx.Err() == nil {
+		s.Failed(err)
 	}
 }
 
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -127,8 +127,9 @@
 // Pick is an endpoint that was chosen for a request. End must be called once.
 type Pick struct {
 	deployment.Endpoint
-	shard *shard
-	state *endpoints.State
+	domain string
+	shard  *shard
+	state  *endpoints.State
 }
 
 // Pick chooses an endpoint of the service, or returns nil.
@@ -141,7 +142,7 @@
 	if state == nil {
 		return nil
 	}
-	return &Pick{Endpoint: state.Endpoint, shard: s, state: state}
+	return &Pick{Endpoint: state.Endpoint, domain: d.domain, shard: s, state: state}
 }
 
 // End tells how the request ended; see endpoints.State.End.
@@ -158,6 +159,22 @@
 	p.state.Slow(waited, work)
 }
 
+// Pace notes the seconds that a unit of work took, without the wait before it.
+func (p *Pick) Pace(seconds float64) {
+	p.shard.mu.Lock()
+	defer p.shard.mu.Unlock()
+	p.state.Pace(seconds)
+}
+
+// Faster tells whether another endpoint would serve the request markedly faster
+// than the one that was picked, where it has taken pace seconds per unit of work.
+func (p *Pick) Faster(r endpoints.Request, pace float64) bool {
+	r.Domain = p.domain
+	p.shard.mu.Lock()
+	defer p.shard.mu.Unlock()
+	return p.shard.set.Faster(r, p.state, pace)
+}
+
 // Seen is an endpoint with its requests in flight.
 type Seen struct {
 	deployment.Endpoint
--- a/internal/node/views.go
+++ b/internal/node/views.go
@@ -76,8 +76,7 @@
 			group.Go(func() error { n.mover.MemberGone(ctx, name); return nil })
 		}
 	}
-	v := &views{node: n, members: n.relayed(members, membersWait)}
-	v.topics = []followed{{n.relayed(operator, 0), 0, 0}, {n.relayed(endpoints, 0), 0, gatherList}, {v.members, membersWait, gatherList}}
+	v := &views{node: n, topics: []followed{{n.relayed(operator, 0), 0, 0}, {n.relayed(endpoints, 0), 0, gatherList}, {n.relayed(members, membersWait), membersWait, gatherList}}}
 	group.Go(func() error { return v.run(ctx) })
 }
 
@@ -91,9 +90,8 @@
 
 // views keeps a process's topics up to date, as a scout or from the scouts.
 type views struct {
-	node    *Node
-	topics  []followed
-	members *cluster.Topic
+	node   *Node
+	topics []followed
 }
 
 func (v *views) run(ctx context.Context) error {
@@ -105,7 +103,6 @@
 	for _, f := range v.topics {
 		s.Topics = append(s.Topics, f.topic)
 	}
-	s.MembersTopic = v.members
 	for ctx.Err() == nil {
 		scout := n.isScout()
 		spell, end := context.WithCancel(ctx)
--- a/internal/policy/batch/job.go
+++ b/internal/policy/batch/job.go
@@ -181,6 +181,7 @@
 	RunFailed                   // the engine answered that it failed
 	RunImpossible               // the engine answered that the item can never be done
 	RunOffVersion               // its weights do not fit the text so far
+	RunMoved                    // this side ended it, as others would be faster
 )
 
 // Ended takes in the end of an item's run at an engine.
@@ -194,6 +195,7 @@
 	switch how {
 	case RunComplete:
 		j.textComplete(i)
+	case RunMoved:
 	case RunBroke:
 		it.notBefore = now.Add(failedPause)
 	case RunRefused:
--- a/internal/policy/endpoints/endpoints.go
+++ b/internal/policy/endpoints/endpoints.go
@@ -26,6 +26,11 @@
 	latencyWeight = 0.3
 	// minSlowdown: below it, differences in speed are noise of single requests.
 	minSlowdown = 1.3
+	// moveSlowdown is how many times slower than usual a request must run before it
+	// is worth moving. A full batch runs a quarter slower than an empty one, and an
+	// engine that has turned slow three times; moving costs some 10 ms of reading
+	// the text in again.
+	moveSlowdown = 1.8
 	// strangerPenalty is added to the score of an endpoint in another failure
 	// domain, in slots: it decides between equals and yields to any real load.
 	strangerPenalty = 0.02
@@ -49,7 +54,8 @@
 	until    time.Time     // no requests before
 	full     time.Duration // last pause after a refusal
 	probing  bool          // one request tries it after a pause
-	cost     float64       // running mean of seconds per unit of work; 0: unknown
+	cost     float64       // running mean of seconds per unit of work, waits included; 0: unknown
+	pace     float64       // running mean of seconds per unit of work once begun; 0: unknown
 	Gone     bool          // no longer listed; requests in flight may end
 }
 
@@ -185,17 +191,22 @@
 
 // typicalCost is the median of the endpoints' costs, 0 if it is unknown.
 func (s *Set) typicalCost() float64 {
-	costs := make([]float64, 0, len(s.list))
-	for _, e := range s.list {
-		if e.cost > 0 {
-			costs = append(costs, e.cost)
+	return median(s.list, func(e *State) float64 { return e.cost })
+}
+
+// median returns the lower median of what is known of the endpoints, or 0.
+func median(list []*State, of func(*State) float64) float64 {
+	values := make([]float64, 0, len(list))
+	for _, e := range list {
+		if v := of(e); v > 0 {
+			values = append(values, v)
 		}
 	}
-	if len(costs) == 0 {
+	if len(values) == 0 {
 		return 0
 	}
-	sort.Float64s(costs)
-	return costs[(len(costs)-1)/2]
+	sort.Float64s(values)
+	return values[(len(values)-1)/2]
 }
 
 // Outcome is how a request to an endpoint ended.
@@ -240,6 +251,32 @@
 // endpoint that hangs would otherwise keep its good mean.
 func (e *State) Slow(waited time.Duration, work float64) { e.observe(waited, work) }
 
+// Pace notes how many seconds a unit of work took an endpoint, without the wait
+// before the first.
+func (e *State) Pace(seconds float64) {
+	if e.pace == 0 {
+		e.pace = seconds
+		return
+	}
+	e.pace += (seconds - e.pace) * latencyWeight
+}
+
+// Faster tells whether a request that has had pace seconds per unit of work here
+// would be served markedly faster at another endpoint that has a free slot.
+func (s *Set) Faster(r Request, than *State, pace float64) bool {
+	typical := median(s.list, func(e *State) float64 { return e.pace })
+	if typical == 0 || pace < moveSlowdown*typical {
+		return false
+	}
+	r.Within = true
+	for _, e := range s.list {
+		if e != than && e.may(&r) && e.usable(r.Now) && e.pace > 0 && e.pace*moveSlowdown < pace {
+			return true
+		}
+	}
+	return false
+}
+
 // Aside tells whether the endpoint is put aside at a time, and until when.
 func (e *State) Aside(now time.Time) (time.Time, bool) { return e.until, now.Before(e.until) }
 
