--- a/cmd/siskinloomd/platform.go
+++ b/cmd/siskinloomd/platform.go
@@ -39,7 +39,7 @@
 			signal.Ignore(syscall.SIGPIPE)
 			reload := make(chan os.Signal, 1)
 			signal.Notify(reload, syscall.SIGHUP)
-			return platform.Run(ctx, path, metricsPort)
+			return platform.Run(ctx, path, metricsPort, reload)
 		},
 	}
 	command.Flags().IntVar(&metricsPort, "metrics-port", 0, "port for metrics on the machine's address; 0: none")
--- a/internal/events/process.go
+++ b/internal/events/process.go
@@ -9,5 +9,7 @@
 	ProcessStopped  = define(1002, logrus.InfoLevel, "process stopped")
 	ProcessReady    = define(1003, logrus.InfoLevel, "process ready to serve")
 	ProcessNotReady = define(1004, logrus.WarnLevel, "process no longer ready to serve")
+	SettingsRead    = define(1007, logrus.InfoLevel, "settings read again")
+	SettingsBad     = define(1008, logrus.ErrorLevel, "settings cannot be read; those before stay")
 	ProcessFailed   = define(1005, logrus.ErrorLevel, "process failed")
 )
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -14,7 +14,8 @@
 
 const stopLimit = 2 * time.Second
 
-// Server answers /metrics (JSON), /healthz and /readyz.
+// Server answers /metrics (JSON), /metrics.txt (a line a figure), /healthz and
+// /readyz.
 type Server struct {
 	Registry metrics.Registry
 	Ready    func() bool
@@ -39,6 +40,9 @@
 	case "/metrics":
 		ctx.SetContentType("application/json")
 		metrics.WriteJSONOnce(s.Registry, ctx)
+	case "/metrics.txt":
+		ctx.SetContentType("text/plain; charset=utf-8")
+		writeText(ctx, s.Registry)
 	case "/healthz":
 		ctx.SetBodyString("ok\n")
 	case "/readyz":
