--- a/internal/batchrun/moving.go
+++ b/internal/batchrun/moving.go
@@ -47,7 +47,7 @@
 		grace = outageGrace
 	}
 	pause(ctx, grace+time.Duration(m.rank(name))*rankDelay)
-	if _, back := m.Members.Get(name); back || ctx.Err() != nil || name == m.Self {
+	if m.Members.Registered(name) || ctx.Err() != nil || name == m.Self {
 		return
 	}
 	if err := m.MoveAll(ctx, name); err != nil {
--- a/internal/cluster/leader.go
+++ b/internal/cluster/leader.go
@@ -13,7 +13,11 @@
 const (
 	// candidateLook is how often a process that does not lead looks whether it may;
 	// the registrations' follower tells it of most changes at once.
-	candidateLook = 5 * time.Second
+	candidateLook = 2 * time.Second
+	// regainLook and regainFor are for one that held the duty until just now: after
+	// an outage its key mostly stands, and it goes on at once.
+	regainLook = 250 * time.Millisecond
+	regainFor  = 10 * time.Second
 	// dutyTTL is the duty's own lease: a holder that is gone is replaced after it,
 	// and a shorter one would be renewed twice a second.
 	dutyTTL = 2 * time.Second
@@ -41,6 +45,7 @@
 	term   int64
 	from   time.Time // may act
 	proven time.Time // the store last confirmed the lease, counted from the call's start
+	lost   time.Time // the duty was last lost unasked
 	look   chan struct{}
 }
 
@@ -65,10 +70,7 @@
 		} else if l.May() {
 			l.stand(ctx)
 		}
-		wait := candidateLook
-		if l.holds() {
-			wait = time.Duration(renewShare * float64(l.TTL))
-		}
+		wait := l.pause()
 		timer := time.NewTimer(wait)
 		select {
 		case <-ctx.Done():
@@ -80,6 +82,20 @@
 	return nil
 }
 
+// pause is how long to wait before the next look.
+func (l *Leader) pause() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case l.lease != 0:
+		return time.Duration(renewShare * float64(l.TTL))
+	case time.Since(l.lost) < regainFor:
+		return regainLook
+	default:
+		return candidateLook
+	}
+}
+
 func (l *Leader) holds() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -122,6 +138,9 @@
 	term := l.term
 	had := l.lease != 0
 	l.lease = 0
+	if had {
+		l.lost = time.Now()
+	}
 	l.mu.Unlock()
 	if had {
 		l.Log(false, term)
--- a/internal/cluster/members.go
+++ b/internal/cluster/members.go
@@ -49,12 +49,13 @@
 // Members is the list of the system's live processes. It is safe for
 // concurrent use.
 type Members struct {
-	mu   sync.RWMutex
-	list map[string]Member
+	mu     sync.RWMutex
+	list   map[string]Member
+	lapsed map[string]bool // registrations that lapsed and whose member is still listed
 }
 
 // NewMembers returns an empty list.
-func NewMembers() *Members { return &Members{list: map[string]Member{}} }
+func NewMembers() *Members { return &Members{list: map[string]Member{}, lapsed: map[string]bool{}} }
 
 // Get returns a member.
 func (m *Members) Get(name string) (Member, bool) {
@@ -64,6 +65,14 @@
 	return member, found
 }
 
+// Registered tells whether a member's registration stands.
+func (m *Members) Registered(name string) bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	_, found := m.list[name]
+	return found && !m.lapsed[name]
+}
+
 // Live returns the members sorted by name.
 func (m *Members) Live() []Member {
 	m.mu.RLock()
@@ -99,6 +108,30 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.list[member.Name] = member
+	delete(m.lapsed, member.Name)
+}
+
+// lingerFor is how long a member whose registration lapsed in an outage of the
+// store stays listed: those that live are back within two seconds. Without it
+// every registration lapses at once, and nobody is left to follow the store or
+// to give weight orders.
+const lingerFor = 2 * time.Second
+
+func (m *Members) linger(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	lapsed, found := m.list[name]
+	if !found {
+		return
+	}
+	time.AfterFunc(lingerFor, func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		if m.list[name] == lapsed && m.lapsed[name] {
+			delete(m.list, name)
+		}
+	})
+	m.lapsed[name] = true
 }
 
 func (m *Members) remove(name string) {
@@ -118,6 +151,8 @@
 	// Gone is called when a member's registration ends, including this process's
 	// own.
 	Gone func(name string)
+	// Unsettled tells whether the store was away until a moment ago; nil: never.
+	Unsettled func() bool
 	// DutyGone is called when a duty's key goes; may be nil.
 	DutyGone func(key string)
 	mu       sync.Mutex
@@ -162,8 +197,13 @@
 		return
 	}
 	name := strings.TrimPrefix(key, prefixMembers)
-	r.Members.remove(name)
-	events.MemberGone.Log(r.Log, logrus.Fields{"member": name, "revision": revision})
+	unsettled := r.Unsettled != nil && r.Unsettled()
+	events.MemberGone.Log(r.Log, logrus.Fields{"member": name, "revision": revision, "lingers": unsettled})
+	if unsettled {
+		r.Members.linger(name)
+	} else {
+		r.Members.remove(name)
+	}
 	if name == r.Self.Name {
 		r.setListed(false)
 		events.MemberLapsed.Log(r.Log, logrus.Fields{"member": name})
--- a/internal/cluster/subscribe.go
+++ b/internal/cluster/subscribe.go
@@ -19,8 +19,8 @@
 	directSpell = 4 * time.Second
 	// scoutsStart is how long after its own start a process waits for scouts that
 	// have just started as well, asking them every askAgainEvery.
-	scoutsStart   = 1500 * time.Millisecond
-	askAgainEvery = 200 * time.Millisecond
+	scoutsStart   = 2500 * time.Millisecond
+	askAgainEvery = 250 * time.Millisecond
 	// newsSlack is how much longer than its own wait a call for news may take.
 	newsSlack = 500 * time.Millisecond
 )
@@ -54,7 +54,9 @@
 		switch {
 		case ctx.Err() != nil:
 		case !s.Known && time.Since(began) < scoutsStart:
-			sleep(ctx, askAgainEvery) // the scouts have just started as well
+			// The scouts have just started as well and may not be registered yet.
+			sleep(ctx, askAgainEvery)
+			s.list(ctx, func(t *Topic) bool { return t.Prefix == prefixLive })
 		default:
 			s.direct(ctx)
 		}
@@ -66,11 +68,18 @@
 // following the store at the start would cost each process a call for every
 // endpoint that registers itself, in the seconds in which all of them do.
 func (s *Subscriber) listAll(ctx context.Context) {
-	if s.Known {
-		return
+	if !s.Known {
+		s.list(ctx, func(*Topic) bool { return true })
 	}
+}
+
+// list lists some of the topics from the store.
+func (s *Subscriber) list(ctx context.Context, which func(*Topic) bool) {
 	var group errgroup.Group
 	for _, topic := range s.Topics {
+		if !which(topic) {
+			continue
+		}
 		group.Go(func() error {
 			page, err := kv.ReadAll(ctx, s.Store, topic.Prefix)
 			if err == nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -126,6 +126,7 @@
 		ttl *= entryTTL
 	}
 	n.registrar = cluster.NewRegistrar(a.Store, self, ttl, n.members, log)
+	n.registrar.Unsettled = n.trouble.recent
 	n.owner = &batchrun.Owner{Name: s.ID, Store: a.Store, Directory: n.directory, Sender: a.Sender, Log: log, Keep: s.KeepResults, Registry: registry, Lost: n.storeFailed, Back: n.storeBack}
 	n.owner.Init()
 	n.desk = &batchrun.Desk{Store: a.Store, Members: n.members, Peers: rpcpool.New(netdial.Dial), Local: n.owner, Log: log, ValueBytes: s.ValueBytes, Models: n.directory.Models}
--- a/internal/node/views.go
+++ b/internal/node/views.go
@@ -49,6 +49,9 @@
 	if n.trouble.down.CompareAndSwap(true, false) {
 		events.StoreBack.Log(n.log, logrus.Fields{})
 	}
+	if n.leader != nil {
+		n.leader.Vacant()
+	}
 }
 
 // membersWait is how long the watch of the members waits: what it tells of has
@@ -109,6 +112,7 @@
 		go v.endWhenChanged(spell, end, scout)
 		if scout {
 			n.newsFrom("store, as a scout", nil)
+			n.leader.Vacant() // a scout may stand for the duty
 			v.scout(spell)
 			s.Known = true
 		} else if err := s.Run(spell); err != nil {
