--- /dev/null
+++ b/internal/batchrun/sweep.go
@@ -0,0 +1,86 @@
+package batchrun
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"siskinloom.example/siskinloom/internal/events"
+	"siskinloom.example/siskinloom/internal/kv"
+)
+
+const (
+	// sweepEvery is how often old jobs are looked for; one listing each time.
+	sweepEvery = time.Minute
+	// sweepSlack passes after results need no longer be readable before they are
+	// removed: machines' clocks differ by seconds.
+	sweepSlack = 30 * time.Second
+)
+
+// Sweeper removes jobs from the store once nobody may ask for them any more.
+// Without it the store would fill with every job there ever was.
+type Sweeper struct {
+	Store kv.Shared
+	Keep  time.Duration // how long results stay readable after submission
+	Log   *logrus.Logger
+	// May tells whether this process is the one that sweeps.
+	May func() bool
+}
+
+// Run sweeps until ctx ends.
+func (s *Sweeper) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		pause(ctx, sweepEvery)
+		if ctx.Err() == nil && s.May() {
+			s.sweep(ctx, time.Now())
+		}
+	}
+	return nil
+}
+
+func (s *Sweeper) sweep(ctx context.Context, now time.Time) {
+	page, err := kv.ReadAll(ctx, s.Store, prefixJobs)
+	if err != nil {
+		return // the next sweep finds the same
+	}
+	for _, r := range page.Records {
+		var record jobRecord
+		if err := decode(r.Value, &record); err != nil {
+			events.JobUnreadable.Log(s.Log, logrus.Fields{"key": r.Key, "error": err.Error()})
+			continue
+		}
+		if now.Sub(record.Submitted) < s.Keep+sweepSlack {
+			continue
+		}
+		id := r.Key[len(prefixJobs):]
+		if err := s.remove(ctx, id, record, r.Revision); err != nil {
+			return
+		}
+		events.JobSwept.Log(s.Log, logrus.Fields{"job": id, "submitted": record.Submitted})
+	}
+}
+
+// remove removes a job's mark and parts, and last its record: if this process
+// stops in between, the next sweep finds the rest.
+func (s *Sweeper) remove(ctx context.Context, id string, record jobRecord, revision int64) error {
+	keys := []string{todoKey(record.Owner, id)}
+	for _, prefix := range []string{donePrefix(id), specPrefix(id)} {
+		page, err := kv.ReadAll(ctx, s.Store, prefix)
+		if err != nil {
+			return err
+		}
+		for _, r := range page.Records {
+			keys = append(keys, r.Key)
+		}
+	}
+	for len(keys) > 0 {
+		n := min(len(keys), kv.MaxTransactionEntries-1)
+		if _, err := s.Store.Commit(ctx, kv.Transaction{Remove: keys[:n]}); err != nil {
+			return err
+		}
+		keys = keys[n:]
+	}
+	_, err := s.Store.Commit(ctx, kv.Transaction{Expect: []kv.Expectation{{Key: jobKey(id), Revision: revision}}, Remove: []string{jobKey(id)}})
+	return err
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -160,6 +160,11 @@
 	event.Log(n.log, logrus.Fields{"term": term})
 }
 
+func (n *Node) leading() bool {
+	_, leads := n.leader.Term(time.Now())
+	return leads
+}
+
 // Ready tells whether the process can serve callers.
 func (n *Node) Ready() bool {
 	return !n.stopping.Load() && n.listed.Load() && n.directory.Table() != nil
@@ -180,6 +185,8 @@
 	if n.leader != nil {
 		group.Go(func() error { return n.leader.Run(work) })
 		group.Go(func() error { return n.models.Run(work) })
+		sweeper := &batchrun.Sweeper{Store: n.adapter.Store, Keep: n.settings.KeepResults, Log: n.log, May: n.leading}
+		group.Go(func() error { return sweeper.Run(work) })
 	}
 	select {
 	case <-ctx.Done():
