Look at kept connections in one place; split the batch specs

Cause: the peek at a kept connection stood in the agent and in upstream. Change: netdial.Quiet serves both; fakes of the batch specs in a file of their own.

--- a/internal/agent/keptconn.go
+++ b/internal/agent/keptconn.go
@@ -3,11 +3,11 @@
 import (
 	"net"
 	"sync/atomic"
-	"syscall"
-	"time"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+
+	"siskinloom.example/siskinloom/internal/netdial"
 )
 
 // errKeptClosed marks a request that was to go over a kept connection which the
@@ -23,7 +23,7 @@
 // arrives after the look still ends as "unknown", which is then the truth.
 type keptConn struct {
 	net.Conn
-	raw      syscall.RawConn
+	tcp      *net.TCPConn
 	answered atomic.Bool // something was read since the last write
 }
 
@@ -32,11 +32,7 @@
 	if !ok {
 		return conn
 	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return conn
-	}
-	return &keptConn{Conn: conn, raw: raw}
+	return &keptConn{Conn: conn, tcp: tcp}
 }
 
 // Read notes that the request before has an answer, at least a part of it.
@@ -51,31 +47,12 @@
 // Write returns errKeptClosed instead of beginning a request on a connection
 // that is closed. The later parts of a request are written without a look.
 func (c *keptConn) Write(p []byte) (int, error) {
-	if c.answered.Swap(false) && !c.open() {
+	if c.answered.Swap(false) && !netdial.Quiet(c.tcp) {
 		return 0, errKeptClosed
 	}
 	return c.Conn.Write(p)
 }
 
-// open peeks at what the endpoint has sent. Between two requests that must be
-// nothing; an end or stray bytes rule the connection out.
-//
-// The deadline of the request before still stands, and past it the look itself
-// would fail. The client sets the next one once the request is written.
-func (c *keptConn) open() bool {
-	if c.Conn.SetReadDeadline(time.Time{}) != nil {
-		return false
-	}
-	open := false
-	err := c.raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = err == syscall.EAGAIN
-		return true
-	})
-	return err == nil && open
-}
-
 // doFresh has send send a request by the client, over a new connection if the
 // kept one turns out to be closed. It repeats nothing that may have reached the
 // endpoint.
--- /dev/null
+++ b/internal/batchrun/fakes_test.go
@@ -0,0 +1,222 @@
+package batchrun_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/rpc"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"siskinloom.example/siskinloom/internal/batchrun"
+	"siskinloom.example/siskinloom/internal/cluster"
+	"siskinloom.example/siskinloom/internal/deployment"
+	"siskinloom.example/siskinloom/internal/directory"
+	"siskinloom.example/siskinloom/internal/dispatch"
+	"siskinloom.example/siskinloom/internal/kv"
+	"siskinloom.example/siskinloom/internal/rpcpool"
+)
+
+const (
+	patience = 20 * time.Second
+	events   = 4 // of each item's text
+)
+
+// engines are endpoints that generate texts of four events and score them.
+type engines struct {
+	mu      sync.Mutex
+	sent    map[string]int // requests by ID
+	resumed []int64        // where runs went on
+	hold    chan struct{}  // closed: events after the second may be sent; nil: no pause
+	breaks  int            // runs that break off after two events, from now on
+	cutEnds int            // runs that break off after their last event, from now on
+}
+
+// Send implements dispatch.Sender.
+func (e *engines) Send(ctx context.Context, _ *deployment.Endpoint, r *dispatch.Request) (*dispatch.Answer, error) {
+	e.mu.Lock()
+	e.sent[r.ID]++
+	hold, broken := e.hold, false
+	if r.Resume > 0 {
+		e.resumed = append(e.resumed, r.Resume)
+	}
+	if e.breaks > 0 && !strings.HasPrefix(r.Target, "/score/") {
+		e.breaks--
+		broken = true
+	}
+	cutEnd := e.cutEnds > 0 && !strings.HasPrefix(r.Target, "/score/")
+	if cutEnd {
+		e.cutEnds--
+	}
+	e.mu.Unlock()
+	if r.Resume >= events {
+		// Nothing is left to generate, so no weights are named.
+		return &dispatch.Answer{Status: http.StatusOK, Signed: true, Body: io.NopCloser(strings.NewReader(""))}, nil
+	}
+	answer := &dispatch.Answer{Status: http.StatusOK, Signed: true, Seal: "seal-" + r.ID, Version: 5}
+	if strings.HasPrefix(r.Target, "/score/") {
+		answer.Body = io.NopCloser(strings.NewReader("scored"))
+		return answer, nil
+	}
+	read, write := io.Pipe()
+	go stream(ctx, write, r.Resume, hold, broken, cutEnd)
+	answer.Body = read
+	return answer, nil
+}
+
+func stream(ctx context.Context, w *io.PipeWriter, after int64, hold chan struct{}, broken, cutEnd bool) {
+	for id := after + 1; id <= events; id++ {
+		if id > 2 && broken {
+			_ = w.CloseWithError(io.ErrUnexpectedEOF)
+			return
+		}
+		if id > 2 && hold != nil {
+			select {
+			case <-hold:
+			case <-ctx.Done():
+				_ = w.CloseWithError(ctx.Err())
+				return
+			}
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: e%d\n\n", id, id); err != nil {
+			return
+		}
+	}
+	if cutEnd {
+		_ = w.CloseWithError(io.ErrUnexpectedEOF)
+		return
+	}
+	_ = w.Close()
+}
+
+func (e *engines) count(id string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.sent[id]
+}
+
+func (e *engines) total() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for _, c := range e.sent {
+		n += c
+	}
+	return n
+}
+
+func silent() *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
+// process is one process of the system.
+type process struct {
+	name     string
+	store    kv.Shared
+	owner    *batchrun.Owner
+	desk     *batchrun.Desk
+	mover    *batchrun.Mover
+	members  *cluster.Members
+	register *cluster.Registrar
+	listener net.Listener
+	stop     context.CancelFunc
+	cutOff   *atomic.Bool // from the store
+}
+
+// path is a process's path to the store.
+type path struct {
+	kv.Shared
+	cutOff *atomic.Bool
+}
+
+func (p path) Await(ctx context.Context, prefix string, after int64, wait time.Duration) (kv.Changes, error) {
+	changes, err := p.Shared.Await(ctx, prefix, after, wait)
+	if p.cutOff.Load() {
+		return kv.Changes{}, kv.ErrUnavailable
+	}
+	return changes, err
+}
+
+func (p path) ReadPage(ctx context.Context, prefix, after string) (kv.Page, error) {
+	if p.cutOff.Load() {
+		return kv.Page{}, kv.ErrUnavailable
+	}
+	return p.Shared.ReadPage(ctx, prefix, after)
+}
+
+func (p path) Commit(ctx context.Context, t kv.Transaction) (kv.Committed, error) {
+	if p.cutOff.Load() {
+		return kv.Committed{}, kv.ErrUnavailable
+	}
+	return p.Shared.Commit(ctx, t)
+}
+
+func newProcess(name string, shared kv.Shared, sender dispatch.Sender) *process {
+	cutOff := &atomic.Bool{}
+	store := path{shared, cutOff}
+	d := directory.New("", nil)
+	d.Declare(&deployment.Declaration{Version: 1, Routes: []deployment.Route{
+		{Name: "items", Host: "h", Prefix: "/items/", Kind: deployment.Rollout, MaxAttempts: 3, Backends: []deployment.Backend{{Service: "llm", Weight: 1}}},
+		{Name: "score", Host: "h", Prefix: "/score/", Kind: deployment.Idempotent, MaxAttempts: 3, Backends: []deployment.Backend{{Service: "app", Weight: 1}}},
+	}})
+	for i := range 2 {
+		d.Put(deployment.Endpoint{ID: fmt.Sprintf("llm%d", i), Service: "llm", Address: "x:1", Slots: 8, Versions: map[string]int64{"m": 5}})
+		d.Put(deployment.Endpoint{ID: fmt.Sprintf("app%d", i), Service: "app", Address: "x:2", Slots: 8})
+	}
+	p := &process{name: name, store: store, cutOff: cutOff, members: cluster.NewMembers()}
+	p.owner = &batchrun.Owner{Name: name, Store: store, Directory: d, Sender: sender, Log: silent(), Keep: time.Minute, Registry: metrics.NewRegistry()}
+	p.owner.Init()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	p.listener = listener
+	server := rpc.NewServer()
+	Expect(p.owner.Register(server)).To(Succeed())
+	go accept(server, listener)
+	p.register = cluster.NewRegistrar(store, cluster.Member{Name: name, Address: listener.Addr().String(), Worker: true}, time.Hour, p.members, silent())
+	p.desk = &batchrun.Desk{Store: store, Members: p.members, Peers: rpcpool.New(nil), Local: p.owner, Log: silent(), ValueBytes: 64}
+	p.mover = &batchrun.Mover{Self: name, Store: store, Members: p.members, Log: silent(), Unsettled: func() bool { return false }}
+	return p
+}
+
+func accept(server *rpc.Server, listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go server.ServeConn(conn)
+	}
+}
+
+// run starts the process; stop kills it.
+func (p *process) run() *process {
+	ctx, cancel := context.WithCancel(context.Background())
+	var done sync.WaitGroup
+	for _, part := range []func(context.Context) error{p.owner.Run, p.register.Run, (&cluster.Follower{Store: p.store, Topic: p.register.Topic()}).Run} {
+		done.Go(func() {
+			defer GinkgoRecover()
+			Expect(part(ctx)).To(Succeed())
+		})
+	}
+	var once sync.Once
+	p.stop = func() {
+		once.Do(func() {
+			cancel()
+			_ = p.listener.Close()
+			done.Wait()
+		})
+	}
+	DeferCleanup(p.stop)
+	return p
+}
--- a/internal/netdial/netdial.go
+++ b/internal/netdial/netdial.go
@@ -62,3 +62,23 @@
 	}
 	return failed
 }
+
+// Quiet tells whether a kept connection is still open and nothing has arrived on
+// it. Between two requests an end, or bytes that belong to no request, rule it
+// out; a request that was written to a closed one would end without a word
+// whether it ran. The read deadline is cleared, as the look itself would fail
+// past one.
+func Quiet(conn *net.TCPConn) bool {
+	raw, err := conn.SyscallConn()
+	if err != nil || conn.SetReadDeadline(time.Time{}) != nil {
+		return false
+	}
+	open := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open = err == syscall.EAGAIN
+		return true
+	})
+	return err == nil && open
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -7,7 +7,6 @@
 	"context"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"siskinloom.example/siskinloom/internal/netdial"
@@ -99,27 +98,11 @@
 	}
 }
 
-// quiet peeks at what the endpoint sent since the last answer. Between two
-// requests that must be nothing: an end, or bytes that belong to no request,
-// rule the connection out before the first byte of a request is written.
+// quiet tells whether the connection may take another request.
 func (c *conn) quiet() bool {
 	if c.in.Buffered() > 0 {
 		return false
 	}
 	tcp, ok := c.raw.(*net.TCPConn)
-	if !ok {
-		return true
-	}
-	sys, err := tcp.SyscallConn()
-	if err != nil || c.raw.SetDeadline(time.Time{}) != nil {
-		return false
-	}
-	open := false
-	err = sys.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = err == syscall.EAGAIN
-		return true
-	})
-	return err == nil && open
+	return !ok || netdial.Quiet(tcp)
 }
