--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -329,6 +329,17 @@
 		Eventually(listed).WithTimeout(patience).Should(BeTrue())
 	})
 
+	It("stands though the store's answer to it was lost", func() {
+		// The key is there, under this process's lease; only the answer was lost. Taken
+		// for a failure, the process would begin anew and let its first key lapse.
+		store := standin.NewShared()
+		r := cluster.NewRegistrar(store, cluster.Member{Name: "self"}, time.Hour, cluster.NewMembers(), silent())
+		store.LoseAnswers(1)
+		start(r.Run)
+		Eventually(func() int { return store.Count("commit") }).WithTimeout(patience).Should(Equal(1))
+		Consistently(func() int { return store.Count("lease") }).WithTimeout(time.Second).Should(Equal(1))
+	})
+
 	It("gives work to workers that stay, and to others only if there is none", func() {
 		store := standin.NewShared()
 		members := cluster.NewMembers()
--- a/internal/cluster/leader.go
+++ b/internal/cluster/leader.go
@@ -204,8 +204,13 @@
 		Expect: []kv.Expectation{{Key: l.Key, Revision: standing.Revision}},
 		Puts:   []kv.Put{{Key: l.Key, Value: []byte(l.Self), Lease: lease}},
 	})
+	if errors.Is(err, kv.ErrUnknown) {
+		var put kv.Record
+		put, err = settlePut(ctx, l.Store, l.Key, lease, err)
+		committed = kv.Committed{Done: err == nil, Revision: put.Revision}
+	}
 	if err != nil || !committed.Done {
-		return // the lease lapses; a put whose answer was lost is taken over at the next look
+		return // the lease lapses unused
 	}
 	from := time.Now()
 	if standing.Revision == 0 {
--- a/internal/cluster/members.go
+++ b/internal/cluster/members.go
@@ -312,10 +312,26 @@
 	if err := gob.NewEncoder(&raw).Encode(self); err != nil {
 		return errors.Wrap(err, "cluster: register")
 	}
-	_, err := r.Store.Commit(ctx, kv.Transaction{Puts: []kv.Put{{Key: prefixMembers + self.Name, Value: raw.Bytes(), Lease: lease}}})
+	key := prefixMembers + self.Name
+	_, err := r.Store.Commit(ctx, kv.Transaction{Puts: []kv.Put{{Key: key, Value: raw.Bytes(), Lease: lease}}})
+	if errors.Is(err, kv.ErrUnknown) {
+		_, err = settlePut(ctx, r.Store, key, lease, err)
+	}
 	return err
 }
 
+// settlePut finds out whether a put whose answer was lost took effect, by the
+// lease that the key has now. While the store loses every second answer, a
+// process that began anew each time was unregistered for seconds, and its jobs
+// were moved.
+func settlePut(ctx context.Context, store kv.Shared, key string, lease kv.LeaseID, unknown error) (kv.Record, error) {
+	standing, err := store.Read(ctx, key)
+	if err != nil || standing.Lease != lease {
+		return kv.Record{}, unknown
+	}
+	return standing, nil
+}
+
 // Leave tells the others that this process stops: they give it nothing new.
 func (r *Registrar) Leave(ctx context.Context) error {
 	r.mu.Lock()
