--- a/internal/policy/endpoints/endpoints.go
+++ b/internal/policy/endpoints/endpoints.go
@@ -57,12 +57,16 @@
 	cost     float64       // running mean of seconds per unit of work, waits included; 0: unknown
 	pace     float64       // running mean of seconds per unit of work once begun; 0: unknown
 	Gone     bool          // no longer listed; requests in flight may end
+	set      *Set
 }
 
 // Set is the endpoints of one service. It is not safe for concurrent use.
 type Set struct {
 	byID map[string]*State
 	list []*State // sorted by ID, without those that are gone
+
+	typical  float64 // median cost when it was last taken
+	observed int     // costs observed since then
 }
 
 // NewSet returns an empty set.
@@ -75,7 +79,7 @@
 		return
 	}
 	s.Remove(e.ID)
-	s.byID[e.ID] = &State{Endpoint: e}
+	s.byID[e.ID] = &State{Endpoint: e, set: s}
 	s.sort()
 }
 
@@ -123,18 +127,20 @@
 // be on this side.
 func (s *Set) Pick(r Request) *State {
 	best, reserve := (*State)(nil), (*State)(nil)
+	least := 0.0
 	slow := s.typicalCost()
 	for _, e := range s.list {
 		if !e.may(&r) {
 			continue
 		}
-		switch {
-		case !e.usable(r.Now):
+		if !e.usable(r.Now) {
 			if reserve == nil || e.until.Before(reserve.until) {
 				reserve = e
 			}
-		case best == nil || e.score(&r, slow) < best.score(&r, slow):
-			best = e
+			continue
+		}
+		if score := e.score(&r, slow); best == nil || score < least {
+			best, least = e, score
 		}
 	}
 	if best == nil && !r.Within {
@@ -189,9 +195,16 @@
 	return load
 }
 
-// typicalCost is the median of the endpoints' costs, 0 if it is unknown.
+// typicalCost is the median of the endpoints' costs, 0 if it is unknown. It is
+// taken anew once a sixteenth of the endpoints showed another cost: among 1,300,
+// sorting at each choice took 24 of its 40 us.
 func (s *Set) typicalCost() float64 {
-	return median(s.list, func(e *State) float64 { return e.cost })
+	const fewChanges = 16
+	if s.observed > len(s.list)/fewChanges {
+		s.observed = 0
+		s.typical = median(s.list, func(e *State) float64 { return e.cost })
+	}
+	return s.typical
 }
 
 // median returns the lower median of what is known of the endpoints, or 0.
@@ -284,6 +297,7 @@
 	if work <= 0 {
 		return
 	}
+	e.set.observed++
 	cost := took.Seconds() / work
 	if e.cost == 0 {
 		e.cost = cost
