--- a/cmd/siskinloomd/platform.go
+++ b/cmd/siskinloomd/platform.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
@@ -52,7 +51,6 @@
 func exitCode(err error) int {
 	var bad *settingsError
 	if errors.As(err, &bad) {
-		fmt.Fprintln(os.Stderr, "settings:")
 		return exitBadSettings
 	}
 	return 1
--- a/internal/cluster/subscribe.go
+++ b/internal/cluster/subscribe.go
@@ -25,7 +25,7 @@
 	newsSlack = 500 * time.Millisecond
 )
 
-var errStaleNews = errors.New("cluster: worker has not heard from the store lately")
+var errStaleNews = errors.New("cluster: scout has not heard from the store lately")
 
 // Subscriber keeps topics up to date from scouts, or from the store itself while
 // none of them can.
@@ -108,12 +108,12 @@
 
 // fromScouts takes news from one scout after the other until none has any.
 func (s *Subscriber) fromScouts(ctx context.Context) {
-	for _, worker := range s.scouts() {
-		err := s.follow(ctx, worker)
+	for _, scout := range s.scouts() {
+		err := s.follow(ctx, scout)
 		if ctx.Err() != nil {
 			return
 		}
-		s.note(worker.Name, err)
+		s.note(scout.Name, err)
 	}
 }
 
@@ -131,12 +131,12 @@
 	return scouts
 }
 
-// follow takes a worker's news until it fails or has none that are fresh. The
-// first call does not wait, so that a dead worker costs newsSlack only.
-func (s *Subscriber) follow(ctx context.Context, worker Member) error {
+// follow takes a scout's news until it fails or has none that are fresh. The
+// first call does not wait, so that a dead scout costs newsSlack only.
+func (s *Subscriber) follow(ctx context.Context, scout Member) error {
 	args := NewsArgs{}
 	for ctx.Err() == nil {
-		reply, err := s.ask(ctx, worker.Address, args)
+		reply, err := s.ask(ctx, scout.Address, args)
 		switch {
 		case err != nil:
 			return err
@@ -146,8 +146,8 @@
 		s.take(reply)
 		s.Known = true
 		args = NewsArgs{Boot: reply.Boot, Seq: reply.Seq, Wait: relayWait}
-		if current, listed := s.Members.Get(worker.Name); !listed || current.Leaving {
-			return errors.New("cluster: worker leaves")
+		if current, listed := s.Members.Get(scout.Name); !listed || current.Leaving {
+			return errors.New("cluster: scout leaves")
 		}
 	}
 	return nil
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -54,17 +54,14 @@
 
 // Service is a declared service.
 type Service struct {
-	Name     string
-	MaxConns int      // connections that one endpoint accepts from all callers
-	Models   []string // models its engines serve; empty for a plain service
+	Name   string
+	Models []string // models its engines serve; empty for a plain service
 }
 
 // Limits bound what a caller may send; zero means no bound.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	HeaderBytes int
+	BodyBytes   int64
 }
 
 // Declaration is one version of what the operator declared, in full.
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -152,13 +152,6 @@
 	p.state.End(now, outcome, took, work)
 }
 
-// Slow tells that the request has waited without an answer.
-func (p *Pick) Slow(waited time.Duration, work float64) {
-	p.shard.mu.Lock()
-	defer p.shard.mu.Unlock()
-	p.state.Slow(waited, work)
-}
-
 // Pace notes the seconds that a unit of work took, without the wait before it.
 func (p *Pick) Pace(seconds float64) {
 	p.shard.mu.Lock()
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -31,10 +31,9 @@
 	Status   int
 	Header   http.Header // without those that concern only the connection
 	Body     io.ReadCloser
-	Length   int64 // of the body; -1: not known
-	NotRun   bool  // the endpoint says that it did not run the request
-	Replaced bool  // another instance has the address, or other weights are loaded
-	Signed   bool  // it carries the endpoint's signature
+	NotRun   bool // the endpoint says that it did not run the request
+	Replaced bool // another instance has the address, or other weights are loaded
+	Signed   bool // it carries the endpoint's signature
 	Seal     string
 	Version  int64 // weight version at the start of the answer; 0: not said
 	// VersionField is the event field that tells a change of version.
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -58,7 +58,6 @@
 	Arrived time.Time
 	Wait    time.Duration // how long the caller waits; 0: not said
 	Model   string        // empty: no model is needed
-	Prefix  string        // first part of the prompt; empty: none
 	Resume  int64         // a stream goes on after this event
 }
 
--- a/internal/policy/batch/spec.go
+++ b/internal/policy/batch/spec.go
@@ -35,8 +35,7 @@
 	Header     [][2]string // passed on to the engine
 	Body       []byte
 	Group      string
-	LengthHint int    // estimated output tokens; 0: unknown
-	Prefix     string // first part of the prompt; items with the same one share it
+	LengthHint int // estimated output tokens; 0: unknown
 	Scorer     *Scorer
 }
 
--- a/internal/policy/endpoints/endpoints.go
+++ b/internal/policy/endpoints/endpoints.go
@@ -34,9 +34,6 @@
 	// strangerPenalty is added to the score of an endpoint in another failure
 	// domain, in slots: it decides between equals and yields to any real load.
 	strangerPenalty = 0.02
-	// affinityBonus is taken off for an endpoint that holds the request's prompt
-	// prefix, in shares of the slots; a queue of half a batch outweighs it.
-	affinityBonus = 0.5
 	// firstFullPause keeps an endpoint that refused as full from being asked at
 	// once; it doubles up to mostFullPause while the endpoint goes on refusing, as
 	// one that loads weights does for about a second.
@@ -56,7 +53,6 @@
 	probing  bool          // one request tries it after a pause
 	cost     float64       // running mean of seconds per unit of work, waits included; 0: unknown
 	pace     float64       // running mean of seconds per unit of work once begun; 0: unknown
-	Gone     bool          // no longer listed; requests in flight may end
 	set      *Set
 }
 
@@ -85,11 +81,9 @@
 
 // Remove takes out an endpoint that is no longer listed.
 func (s *Set) Remove(id string) {
-	known, found := s.byID[id]
-	if !found {
+	if s.byID[id] == nil {
 		return
 	}
-	known.Gone = true
 	delete(s.byID, id)
 	s.sort()
 }
@@ -117,7 +111,6 @@
 	Model      string   // empty: no model is needed
 	MinVersion int64    // oldest weight version that may serve it
 	Version    int64    // the one version that may serve it; 0: any from MinVersion
-	Holder     string   // ID of an endpoint that holds the prompt's prefix
 	Within     bool     // only an endpoint with a free slot, as far as is known
 }
 
@@ -189,9 +182,6 @@
 	if e.Domain != r.Domain {
 		load += strangerPenalty
 	}
-	if r.Holder == e.ID {
-		load -= affinityBonus
-	}
 	return load
 }
 
@@ -260,10 +250,6 @@
 	}
 }
 
-// Slow notes a request that is still without an answer after waited: an
-// endpoint that hangs would otherwise keep its good mean.
-func (e *State) Slow(waited time.Duration, work float64) { e.observe(waited, work) }
-
 // Pace notes how many seconds a unit of work took an endpoint, without the wait
 // before the first.
 func (e *State) Pace(seconds float64) {
