End two data races in the owner of batch jobs

Cause: what a job had left was kept, and its results were read, without the job's lock while its last runs ended; its counts were logged after it was published.

--- a/internal/batchrun/ended.go
+++ b/internal/batchrun/ended.go
@@ -21,7 +21,7 @@
 	life time.Duration
 	gone map[string]int64 // revision at which the mark went, by job
 	done map[string]bool  // jobs that are known to have ended, not moved
-	kept []*batch.Job     // with their durable results, oldest first
+	kept []keptResults    // oldest first
 }
 
 func newEndedJobs(life time.Duration) *endedJobs {
@@ -43,21 +43,37 @@
 
 func (e *endedJobs) since(id string, mark int64) bool { return e.gone[id] >= mark }
 
+// keptResults are an ended job's durable results.
+type keptResults struct {
+	id        string
+	submitted time.Time
+	total     int
+	results   []batch.Result
+}
+
 // keep keeps the results of a job that was ended, so that readers of it make no
 // calls to the store: at forty machines each made one for each such job.
-func (e *endedJobs) keep(now time.Time, job *batch.Job) {
-	for len(e.kept) > 0 && (len(e.kept) >= mostKept || now.Sub(e.kept[0].Spec.Submitted) > e.life) {
+func (e *endedJobs) keep(now time.Time, k keptResults) {
+	for len(e.kept) > 0 && (len(e.kept) >= mostKept || now.Sub(e.kept[0].submitted) > e.life) {
 		e.kept = e.kept[1:]
 	}
-	e.kept = append(e.kept, job)
+	e.kept = append(e.kept, k)
 }
 
-// results returns the kept job, or nil.
-func (e *endedJobs) results(id string) *batch.Job {
-	for _, job := range e.kept {
-		if job.Spec.ID == id {
-			return job
+// results returns what is kept of a job.
+func (e *endedJobs) results(id string) (keptResults, bool) {
+	for _, k := range e.kept {
+		if k.id == id {
+			return k, true
 		}
 	}
-	return nil
+	return keptResults{}, false
+}
+
+// from returns the results from a position on.
+func (k *keptResults) from(position int) []batch.Result {
+	if position >= len(k.results) {
+		return nil
+	}
+	return k.results[max(0, position):]
 }
--- a/internal/batchrun/owner.go
+++ b/internal/batchrun/owner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/rpc"
+	"slices"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -256,11 +257,11 @@
 	owned.ctx, owned.cancel = context.WithCancel(ctx)
 	o.jobs[id] = owned
 	resumed := o.left.Give(time.Now(), job)
-	o.mu.Unlock()
+	_, _, _, done := job.Counts()
+	o.mu.Unlock() // from here on the job is run
 	if o.Adopted != nil {
 		o.Adopted(job.Spec)
 	}
-	_, _, _, done := job.Counts()
 	events.JobOwned.Log(o.Log, logrus.Fields{"job": id, "mark": mark, "resumed": resumed, "items": job.Total(), "done": done, "model": job.Spec.Model, "min_version": job.Spec.MinVersion, "step": job.Spec.Step})
 	o.kick()
 }
@@ -276,26 +277,26 @@
 		return
 	}
 	delete(o.jobs, id)
-	settled := owned.close()
-	o.left.Keep(time.Now(), owned.job)
-	if settled {
-		o.ended.keep(time.Now(), owned.job)
-	}
+	o.retire(owned)
 	o.mu.Unlock()
 	events.JobDropped.Log(o.Log, logrus.Fields{"job": id, "mark": owned.mark, "revision": revision})
 }
 
-// close stops the job's runs, and tells whether no write was under way: then
-// the results that are known to be durable are all that will ever be.
-func (j *ownedJob) close() (settled bool) {
+// retire stops a job's runs and keeps what is of use of it: its texts for the
+// next job, and its results for readers unless a write was under way. Then only
+// the store knows which results will ever be durable. The owner's lock is held.
+func (o *Owner) retire(j *ownedJob) {
+	now := time.Now()
 	j.mu.Lock()
-	settled = !j.writing
+	defer j.mu.Unlock()
 	j.job.Close()
+	j.cancel()
 	close(j.readers)
 	j.readers = make(chan struct{})
-	j.mu.Unlock()
-	j.cancel()
-	return settled
+	o.left.Keep(now, j.job)
+	if !j.writing {
+		o.ended.keep(now, keptResults{id: j.id, submitted: j.job.Spec.Submitted, total: j.job.Total(), results: slices.Clone(j.job.Readable(0))})
+	}
 }
 
 func (o *Owner) find(id string) *ownedJob {
@@ -405,11 +406,11 @@
 func (o *Owner) readEnded(args ReadArgs) ReadReply {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	job := o.ended.results(args.Job)
-	if job == nil {
+	kept, found := o.ended.results(args.Job)
+	if !found {
 		return ReadReply{}
 	}
-	return ReadReply{Owned: true, Gone: true, Ended: o.ended.done[args.Job], Total: job.Total(), Results: job.Readable(args.From)}
+	return ReadReply{Owned: true, Gone: true, Ended: o.ended.done[args.Job], Total: kept.total, Results: kept.from(args.From)}
 }
 
 func (o *Owner) body(args BodyArgs) BodyReply {
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -178,6 +178,8 @@
 		r.Wait = 50 * time.Millisecond
 		o := newGate(s, 1).Serve(context.Background(), route(deployment.NonIdempotent), r)
 		Expect(o.End).To(Equal(gate.TimedOut))
+		s.mu.Lock()
+		defer s.mu.Unlock()
 		Expect(s.left[0]).To(BeNumerically("<=", 50*time.Millisecond))
 	})
 
