Reach the store by way of another process while cut off or turned away

Cause: a process that the store turned away, or that was cut off from it, lost its registration after a lease's time, then its batch jobs; an entry in that state refused every submission.

Change: internal/storepath makes a call directly and, when the answer stays out 300 ms or the call is refused, by way of another process: the one that helped last, or the first of two workers and two entries to show itself able. A transaction is never made twice; its outcome is unknown then, which writers settle already. internal/policy/storepath holds the choice.

--- a/internal/events/fleet.go
+++ b/internal/events/fleet.go
@@ -48,6 +48,8 @@
 	MemberRegistered = define(2210, logrus.InfoLevel, "this process registered itself")
 	MemberLapsed     = define(2211, logrus.WarnLevel, "this process's registration was taken away")
 	RetireAsked      = define(2212, logrus.InfoLevel, "this machine is to be emptied")
+	StoreByOther     = define(2215, logrus.WarnLevel, "store is reached by way of another process")
+	StoreDirect      = define(2216, logrus.InfoLevel, "store is reached directly again")
 	NewsFrom         = define(2214, logrus.InfoLevel, "news of the fleet come from another source")
 	RetireDone       = define(2213, logrus.InfoLevel, "this machine is empty")
 )
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -30,6 +30,7 @@
 	"siskinloom.example/siskinloom/internal/observe"
 	"siskinloom.example/siskinloom/internal/policy/batch"
 	"siskinloom.example/siskinloom/internal/rpcpool"
+	"siskinloom.example/siskinloom/internal/storepath"
 )
 
 // Settings are one process's settings, from the platform's boot file.
@@ -104,6 +105,7 @@
 	log      *logrus.Logger
 	registry metrics.Registry
 
+	store     *storepath.Store
 	directory *directory.Directory
 	members   *cluster.Members
 	registrar *cluster.Registrar
@@ -126,7 +128,11 @@
 	n := &Node{settings: s, adapter: a, log: log, registry: registry, members: cluster.NewMembers()}
 	n.directory = directory.New(s.FailureDomain, a.Forget)
 	inner := net.JoinHostPort(s.IP, strconv.Itoa(s.InnerPort))
+	peers := rpcpool.New(netdial.Dial)
 	self := cluster.Member{Name: s.ID, Address: inner, Domain: s.FailureDomain, Worker: s.Worker, Boot: time.Now().UnixNano()}
+	n.store = storepath.New(a.Store, self, n.members, peers, log, registry)
+	a.Store = n.store // nothing else calls the store directly
+	n.adapter = a
 	ttl := max(workerTTL, s.MinTTL)
 	if !s.Worker {
 		ttl *= entryTTL
@@ -135,11 +141,10 @@
 	n.registrar.Unsettled = n.trouble.recent
 	n.owner = &batchrun.Owner{Name: s.ID, Store: a.Store, Directory: n.directory, Sender: a.Sender, Log: log, Keep: s.KeepResults, Registry: registry, Lost: n.storeFailed, Back: n.storeBack}
 	n.owner.Init()
-	n.desk = &batchrun.Desk{Store: a.Store, Members: n.members, Peers: rpcpool.New(netdial.Dial), Local: n.owner, Log: log, ValueBytes: s.ValueBytes, Models: n.directory.Models}
+	n.desk = &batchrun.Desk{Store: a.Store, Members: n.members, Peers: peers, Local: n.owner, Log: log, ValueBytes: s.ValueBytes, Models: n.directory.Models}
 	n.mover = &batchrun.Mover{Self: s.ID, Store: a.Store, Members: n.members, Log: log, Unsettled: n.trouble.recent, Tell: n.desk.TellMoved}
 	n.gate = gate.New(n.directory, a.Sender, log, registry)
 	n.owner.Certain = n.registrar.Certain
-	peers := n.desk.Peers
 	n.owner.Adopted = func(spec *batch.Spec) {
 		modelrun.Tell(context.Background(), n.members, peers, modelrun.NeedArgs{Model: spec.Model, Version: spec.MinVersion, Items: len(spec.Items)})
 	}
@@ -225,6 +230,9 @@
 	if err := n.owner.Register(calls); err != nil {
 		return nil, errors.Wrap(err, "node: inner calls")
 	}
+	if err := n.store.Register(calls); err != nil {
+		return nil, err
+	}
 	if n.settings.Worker {
 		if err := n.models.Register(calls); err != nil {
 			return nil, err
--- /dev/null
+++ b/internal/storepath/others.go
@@ -0,0 +1,206 @@
+package storepath
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"siskinloom.example/siskinloom/internal/cluster"
+	"siskinloom.example/siskinloom/internal/events"
+	"siskinloom.example/siskinloom/internal/kv"
+	"siskinloom.example/siskinloom/internal/policy/rendezvous"
+	"siskinloom.example/siskinloom/internal/rpcpool"
+)
+
+const (
+	// askedOfAKind is how many workers and how many entries are asked. A cut may
+	// take a process from all workers and leave it the other entries, of which a
+	// third may be cut as well.
+	askedOfAKind = 2
+	// askNextAfter is how long one process may be silent before the next is asked
+	// too. They are milliseconds away, and the store answers in 4 ms; asked one
+	// after the other, two that are cut off would use up the time that a submitter
+	// waits.
+	askNextAfter = 100 * time.Millisecond
+	// storeFailures is how many others have to find the store failing before no
+	// more are asked: it is an outage then, and each costs the store a call.
+	storeFailures = 2
+)
+
+// failsOthersError tells that the store fails another process as well.
+type failsOthersError struct{ by, text string }
+
+// Error implements error.
+func (e *failsOthersError) Error() string { return "store fails " + e.by + " too: " + e.text }
+
+// Unwrap returns what it means for the call.
+func (e *failsOthersError) Unwrap() error { return kv.ErrUnavailable }
+
+// askOthers makes the call by way of another process: the one that helped last,
+// or the first that shows itself able to. doubted says that the own way brought
+// no answer.
+func (s *Store) askOthers(ctx context.Context, q *Query, doubted bool) outcome {
+	if helper, found := s.standingHelper(); found {
+		o := s.askOne(ctx, helper, q)
+		if answered(o.err) {
+			s.othersServed(helper, doubted)
+			return o
+		}
+		s.forgetHelper(helper)
+		if ctx.Err() != nil || errors.Is(o.err, kv.ErrUnknown) && !q.repeatable() {
+			return o
+		}
+	}
+	probe := q
+	if !q.repeatable() {
+		probe = &Query{Operation: Read, Key: lookKey}
+	}
+	helper, o := s.race(ctx, probe)
+	if !answered(o.err) {
+		return outcome{err: errors.Wrap(kv.ErrUnavailable, o.err.Error())}
+	}
+	s.othersServed(helper, doubted)
+	if q.repeatable() {
+		return o
+	}
+	return s.askOne(ctx, helper, q)
+}
+
+// race asks one process after the other, without waiting long for any, and
+// returns the first that had an answer of the store.
+func (s *Store) race(ctx context.Context, q *Query) (cluster.Member, outcome) {
+	type raced struct {
+		helper cluster.Member
+		outcome
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	candidates := s.candidates()
+	ended := make(chan raced, len(candidates))
+	next := time.NewTimer(0)
+	defer next.Stop()
+	last := outcome{err: errors.New("storepath: no other process to ask")}
+	asked, failing := 0, 0
+	var fails *failsOthersError
+	for under := 0; under > 0 || asked < len(candidates); {
+		select {
+		case <-next.C:
+			if asked < len(candidates) {
+				m := candidates[asked]
+				asked++
+				under++
+				go func() { ended <- raced{m, s.askOne(ctx, m, q)} }()
+				next.Reset(askNextAfter)
+			}
+		case r := <-ended:
+			under--
+			last = r.outcome
+			switch {
+			case answered(r.err):
+				return r.helper, r.outcome
+			case errors.As(r.err, &fails):
+				failing++
+			}
+			if failing == storeFailures || ctx.Err() != nil {
+				asked = len(candidates)
+			}
+			next.Reset(0)
+		}
+	}
+	if len(candidates) > 0 && ctx.Err() == nil {
+		s.othersFailed()
+	}
+	return cluster.Member{}, last
+}
+
+// candidates returns the processes to ask: workers, who have processor time to
+// spare, then entries; of each kind those of this failure domain first, as bytes
+// between domains are dearer.
+func (s *Store) candidates() []cluster.Member {
+	var workers, entries []cluster.Member
+	for _, m := range s.members.Live() {
+		switch {
+		case m.Leaving || m.Name == s.self.Name:
+		case m.Worker:
+			workers = append(workers, m)
+		default:
+			entries = append(entries, m)
+		}
+	}
+	return append(s.nearest(workers), s.nearest(entries)...)
+}
+
+func (s *Store) nearest(of []cluster.Member) []cluster.Member {
+	self := rendezvous.Key(s.self.Name)
+	sort.Slice(of, func(i, j int) bool {
+		near, other := of[i].Domain == s.self.Domain, of[j].Domain == s.self.Domain
+		if near != other {
+			return near
+		}
+		return rendezvous.Weight(self, rendezvous.Key(of[i].Name)) > rendezvous.Weight(self, rendezvous.Key(of[j].Name))
+	})
+	return of[:min(len(of), askedOfAKind)]
+}
+
+// askOne has one process make the call. ErrUnavailable means that it certainly
+// had no effect.
+func (s *Store) askOne(ctx context.Context, m cluster.Member, q *Query) outcome {
+	ctx, cancel := context.WithTimeout(ctx, q.Wait+passLimit)
+	defer cancel()
+	s.byOthers.Inc(1)
+	var reply Reply
+	err := s.peers.Call(ctx, m.Address, callDo, *q, &reply)
+	var dial *rpcpool.DialError
+	switch {
+	case errors.As(err, &dial):
+		return outcome{err: errors.Wrap(kv.ErrUnavailable, err.Error())}
+	case err != nil:
+		return outcome{err: errors.Wrap(kv.ErrUnknown, err.Error())} // the reply may still be written to
+	case reply.Tried && reply.Code == Unavailable:
+		return outcome{err: &failsOthersError{by: m.Name, text: reply.Text}}
+	case reply.Code != Served:
+		return outcome{err: errors.Wrapf(codeErrors[reply.Code], "by way of %s: %s", m.Name, reply.Text)}
+	}
+	return outcome{result: reply.Result}
+}
+
+func (s *Store) standingHelper() (cluster.Member, bool) {
+	s.mu.Lock()
+	name := s.helper
+	s.mu.Unlock()
+	if name == "" {
+		return cluster.Member{}, false
+	}
+	return s.members.Get(name)
+}
+
+func (s *Store) forgetHelper(m cluster.Member) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.helper == m.Name {
+		s.helper = ""
+	}
+}
+
+func (s *Store) othersServed(m cluster.Member, doubted bool) {
+	s.mu.Lock()
+	left := s.path.OthersServed(time.Now(), doubted)
+	s.helper = m.Name
+	if left {
+		close(s.left)
+		s.left = make(chan struct{})
+	}
+	s.mu.Unlock()
+	if left {
+		events.StoreByOther.Log(s.log, logrus.Fields{"by": m.Name})
+	}
+}
+
+func (s *Store) othersFailed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.path.OthersFailed(time.Now())
+}
--- /dev/null
+++ b/internal/storepath/query.go
@@ -0,0 +1,106 @@
+package storepath
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"siskinloom.example/siskinloom/internal/kv"
+)
+
+// Operation is a call that the store knows.
+type Operation int
+
+// The operations.
+const (
+	Read Operation = iota
+	ReadPage
+	Await
+	Commit
+	GrantLease
+	KeepLease
+	RevokeLease
+)
+
+// Query is one call to the store, as it is passed on to another process.
+type Query struct {
+	Operation   Operation
+	Key         string         // of Read; prefix of ReadPage and Await
+	AfterKey    string         // of ReadPage
+	Revision    int64          // Await: changes after it
+	Wait        time.Duration  // of Await
+	Transaction kv.Transaction // of Commit
+	TTL         time.Duration  // of GrantLease
+	Lease       kv.LeaseID     // of KeepLease and RevokeLease
+}
+
+// repeatable tells whether the call may be made twice. A transaction that took
+// effect would fail its own conditions the second time.
+func (q *Query) repeatable() bool { return q.Operation != Commit }
+
+// Result is the store's answer to a Query; the field of its operation is set.
+type Result struct {
+	Record    kv.Record
+	Page      kv.Page
+	Changes   kv.Changes
+	Committed kv.Committed
+	Lease     kv.LeaseID
+	TTL       time.Duration
+}
+
+// execute makes the call.
+func execute(ctx context.Context, store kv.Shared, q *Query) (r Result, err error) {
+	switch q.Operation {
+	case Read:
+		r.Record, err = store.Read(ctx, q.Key)
+	case ReadPage:
+		r.Page, err = store.ReadPage(ctx, q.Key, q.AfterKey)
+	case Await:
+		r.Changes, err = store.Await(ctx, q.Key, q.Revision, q.Wait)
+	case Commit:
+		r.Committed, err = store.Commit(ctx, q.Transaction)
+	case GrantLease:
+		r.Lease, r.TTL, err = store.GrantLease(ctx, q.TTL)
+	case KeepLease:
+		err = store.KeepLease(ctx, q.Lease)
+	case RevokeLease:
+		err = store.RevokeLease(ctx, q.Lease)
+	default:
+		err = errors.Wrapf(kv.ErrUnavailable, "operation %d", q.Operation)
+	}
+	return r, err
+}
+
+// Code is how a call to the store ended, as it goes between processes.
+type Code int
+
+// The codes.
+const (
+	Served Code = iota
+	Unavailable
+	Unknown
+	LeaseNotFound
+	HistoryGone
+)
+
+var codeErrors = map[Code]error{
+	Unavailable: kv.ErrUnavailable, Unknown: kv.ErrUnknown, LeaseNotFound: kv.ErrLeaseNotFound, HistoryGone: kv.ErrHistoryGone,
+}
+
+func codeOf(err error) Code {
+	if err == nil {
+		return Served
+	}
+	for code, known := range codeErrors {
+		if errors.Is(err, known) {
+			return code
+		}
+	}
+	return Unknown // nothing is certain of an error without a kind
+}
+
+// answered tells whether the store itself answered, whatever it said.
+func answered(err error) bool {
+	return err == nil || errors.Is(err, kv.ErrLeaseNotFound) || errors.Is(err, kv.ErrHistoryGone)
+}
