Pass over owners that do not answer; send no write into a known outage

After the outage calls that were lost in it ended one by one, and each sent the process away from a way that worked (27 turns in 4 s).

Ruled out: the submitters' patience (they come again for some seven seconds, however often they are refused).

Change: the process that accepts a job moves it to an owner that answers if the chosen one does not, under the condition that nothing is listed yet, and gives it no more jobs for 5 s. A mover waits for a process that lapsed in an outage only if it answers. A write is preceded by a look while the store answers nobody, and refused as not run. Calls that began before one that was answered say nothing of the way to the store; those that hang are given up when another call finds the way that works.

The specs fail without the change (the silent owner's job was never listed).

--- a/internal/batchrun/batchrun_test.go
+++ b/internal/batchrun/batchrun_test.go
@@ -175,6 +175,58 @@
 		Eventually(results(other, "j")).WithTimeout(patience).Should(Equal(2))
 	})
 
+	It("goes to an owner that answers when the one it was accepted for does not", func() {
+		// What happens: the owner died while the store was away, so its registration
+		// still stands when the next job is accepted for it. The trainer sees results
+		// after the time of one unanswered call, not of a lease.
+		Expect(a.desk.Submit(context.Background(), spec("first", 1))).To(Succeed())
+		owner, other := owned("first")
+		Eventually(results(other, "first")).WithTimeout(patience).Should(Equal(1))
+		owner.stop()
+		Expect(other.members.Registered(owner.name)).To(BeTrue())
+		Expect(other.desk.Submit(context.Background(), spec("second", 2))).To(Succeed())
+		Eventually(results(other, "second")).WithTimeout(patience).Should(Equal(2))
+		Expect(other.owner.Jobs()).To(HaveKey("second"))
+		Expect(other.desk.Submit(context.Background(), spec("third", 1))).To(Succeed())
+		_, err := store.Read(context.Background(), "todo/"+other.name+"/third")
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(func() map[string]int64 { return other.owner.Jobs() }).WithTimeout(patience).Should(HaveKey("third"), "the silent owner is passed over")
+	})
+
+	It("stays where it is when no other owner answers", func() {
+		// What happens: an entry that is cut off from every worker accepted the job by
+		// way of the store. It must not move it from one owner to the next.
+		Expect(a.desk.Submit(context.Background(), spec("first", 1))).To(Succeed())
+		owner, other := owned("first")
+		entry := newProcess("e", store, llm)
+		entry.desk.Members = other.members
+		owner.stop()
+		other.stop()
+		Expect(entry.desk.Submit(context.Background(), spec("j", 1))).To(Succeed())
+		record, err := store.Read(context.Background(), "todo/"+owner.name+"/j")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(record.Revision).NotTo(BeZero())
+		Consistently(func() int64 {
+			record, err := store.Read(context.Background(), "todo/"+owner.name+"/j")
+			Expect(err).NotTo(HaveOccurred())
+			return record.Revision
+		}, time.Second).Should(Equal(record.Revision))
+	})
+
+	It("moves at once when the owner that lapsed in an outage does not answer", func() {
+		// What happens: registrations lapse while the store is away. A process that
+		// answers is given two seconds to register again; for one that is dead its
+		// jobs would lose them.
+		asked := ""
+		other := newProcess("x", store, llm)
+		other.mover.Unsettled = func() bool { return true }
+		other.mover.Answers = func(_ context.Context, name string) bool { asked = name; return false }
+		began := time.Now()
+		other.mover.MemberGone(context.Background(), "dead")
+		Expect(asked).To(Equal("dead"))
+		Expect(time.Since(began)).To(BeNumerically("<", 2*time.Second))
+	})
+
 	It("resumes a broken run after its last event", func() {
 		llm.breaks = 1
 		Expect(a.desk.Submit(context.Background(), spec("j", 1))).To(Succeed())
--- a/internal/batchrun/desk.go
+++ b/internal/batchrun/desk.go
@@ -41,8 +41,9 @@
 	// Models returns the models whose jobs there are; may be nil.
 	Models func() []string
 
-	mu    sync.Mutex
-	known map[string]*knownJob
+	mu     sync.Mutex
+	known  map[string]*knownJob
+	silent map[string]time.Time // owners that did not answer, and when
 }
 
 // knownJob is what this process remembers of a job.
@@ -75,7 +76,7 @@
 // tryAccept writes the job once; done is true if it stands, by this try or an
 // earlier one.
 func (d *Desk) tryAccept(ctx context.Context, spec *batch.Spec, parts [][]byte) (done bool, err error) {
-	owners := d.Members.Owners()
+	owners := d.trusted(d.Members.Owners())
 	if len(owners) == 0 {
 		return false, errors.Wrap(kv.ErrUnavailable, "no process to own it")
 	}
@@ -91,7 +92,7 @@
 	}
 	if committed.Done {
 		d.remember(spec.ID, record)
-		d.tellOwner(owner, callMarked, MarkArgs{Job: spec.ID, Revision: committed.Revision})
+		d.tellAccepted(owner, spec.ID, committed.Revision)
 	}
 	return true, nil // otherwise the key exists: it was accepted before
 }
@@ -213,29 +214,28 @@
 
 // tellOwner tells an owner what its watch will tell it as well, only later.
 func (d *Desk) tellOwner(owner, method string, args MarkArgs) {
-	go func() {
-		if owner == d.Local.Name {
-			d.Local.take(method, args)
-			return
-		}
-		if err := d.call(context.Background(), owner, method, 0, args, &struct{}{}); err != nil {
-			events.OwnerNotTold.Log(d.Log, logrus.Fields{"job": args.Job, "owner": owner, "revision": args.Revision, "error": err.Error()})
-		}
-	}()
+	go func() { _ = d.tell(owner, method, args) }()
+}
+
+func (d *Desk) tell(owner, method string, args MarkArgs) error {
+	if owner == d.Local.Name {
+		d.Local.take(method, args)
+		return nil
+	}
+	err := d.call(context.Background(), owner, method, 0, args, &struct{}{})
+	if err != nil {
+		events.OwnerNotTold.Log(d.Log, logrus.Fields{"job": args.Job, "owner": owner, "revision": args.Revision, "error": err.Error()})
+	}
+	return err
 }
 
 // fetch reads a job's record from the store and remembers it.
 func (d *Desk) fetch(ctx context.Context, id string) (kv.Record, jobRecord, error) {
-	var record jobRecord
-	standing, err := d.Store.Read(ctx, jobKey(id))
-	if err != nil || standing.Revision == 0 {
-		return standing, record, err
-	}
-	if err := decode(standing.Value, &record); err != nil {
-		return standing, record, err
+	standing, record, err := readRecord(ctx, d.Store, id)
+	if err == nil && standing.Revision != 0 {
+		d.remember(id, record)
 	}
-	d.remember(id, record)
-	return standing, record, nil
+	return standing, record, err
 }
 
 func (d *Desk) remembered(id string) *knownJob {
--- a/internal/batchrun/fakes_test.go
+++ b/internal/batchrun/fakes_test.go
@@ -132,6 +132,9 @@
 	listener net.Listener
 	stop     context.CancelFunc
 	cutOff   *atomic.Bool // from the store
+
+	conns sync.Mutex
+	open  []net.Conn
 }
 
 // path is a process's path to the store.
@@ -182,23 +185,35 @@
 	p.listener = listener
 	server := rpc.NewServer()
 	Expect(p.owner.Register(server)).To(Succeed())
-	go accept(server, listener)
+	go p.accept(server)
 	p.register = cluster.NewRegistrar(store, cluster.Member{Name: name, Address: listener.Addr().String(), Worker: true}, time.Hour, p.members, silent())
 	p.desk = &batchrun.Desk{Store: store, Members: p.members, Peers: rpcpool.New(nil), Local: p.owner, Log: silent(), ValueBytes: 64}
 	p.mover = &batchrun.Mover{Self: name, Store: store, Members: p.members, Log: silent(), Unsettled: func() bool { return false }}
 	return p
 }
 
-func accept(server *rpc.Server, listener net.Listener) {
+func (p *process) accept(server *rpc.Server) {
 	for {
-		conn, err := listener.Accept()
+		conn, err := p.listener.Accept()
 		if err != nil {
 			return
 		}
+		p.conns.Lock()
+		p.open = append(p.open, conn)
+		p.conns.Unlock()
 		go server.ServeConn(conn)
 	}
 }
 
+// closeConns ends the connections of a process that is killed.
+func (p *process) closeConns() {
+	p.conns.Lock()
+	defer p.conns.Unlock()
+	for _, conn := range p.open {
+		_ = conn.Close()
+	}
+}
+
 // run starts the process; stop kills it.
 func (p *process) run() *process {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -214,6 +229,7 @@
 		once.Do(func() {
 			cancel()
 			_ = p.listener.Close()
+			p.closeConns()
 			done.Wait()
 		})
 	}
--- a/internal/batchrun/moving.go
+++ b/internal/batchrun/moving.go
@@ -35,6 +35,8 @@
 	Log     *logrus.Logger
 	// Unsettled tells whether the store was away until a moment ago.
 	Unsettled func() bool
+	// Answers tells whether a process answers calls; nil: not known.
+	Answers func(ctx context.Context, name string) bool
 	// Tell tells the new owner of its mark; may be nil.
 	Tell func(owner, job string, revision int64)
 }
@@ -43,7 +45,7 @@
 // is done or ctx ends.
 func (m *Mover) MemberGone(ctx context.Context, name string) {
 	grace := moveGrace
-	if m.Unsettled() {
+	if m.Unsettled() && m.mayLive(ctx, name) {
 		grace = outageGrace
 	}
 	pause(ctx, grace+time.Duration(m.rank(name))*rankDelay)
@@ -55,6 +57,12 @@
 	}
 }
 
+// mayLive tells whether a process whose registration lapsed in an outage of the
+// store may be back soon: one that answers no call will not.
+func (m *Mover) mayLive(ctx context.Context, name string) bool {
+	return m.Answers == nil || m.Answers(ctx, name)
+}
+
 // rank is this process's place among those that could move the jobs.
 func (m *Mover) rank(name string) int {
 	owners := m.Members.Owners()
@@ -108,20 +116,19 @@
 // tryMove moves one job; done is true if nothing is left to do.
 func (m *Mover) tryMove(ctx context.Context, from string, mark kv.Record) (done bool, err error) {
 	id := jobOfTodo(mark.Key)
-	standing, err := m.Store.Read(ctx, jobKey(id))
+	standing, record, err := readRecord(ctx, m.Store, id)
 	if err != nil {
-		return false, err
+		return !errors.Is(err, kv.ErrUnavailable), err
 	}
-	var record jobRecord
-	if err := decode(standing.Value, &record); err != nil {
-		return true, errors.Wrapf(err, "job %s", id)
+	if standing.Revision == 0 {
+		return true, nil // swept; its mark goes with it
 	}
 	to, found := m.successor(affinity(record.Model, id), from)
 	if !found {
 		return true, nil // nobody is left; the owner goes on when it is back
 	}
 	record.Owner = to
-	t, err := handover(id, from, to, mark.Revision, standing.Revision, record)
+	t, err := handover(id, from, to, mark.Revision, standing.Revision, record, false)
 	if err != nil {
 		return true, err
 	}
@@ -139,24 +146,21 @@
 }
 
 func (m *Mover) successor(key, from string) (string, bool) {
-	var owners []cluster.Member
-	for _, o := range m.Members.Owners() {
-		if o.Name != from {
-			owners = append(owners, o)
-		}
-	}
+	owners := without(m.Members.Owners(), from)
 	if len(owners) == 0 {
 		return "", false
 	}
 	return ownerFor(key, owners), true
 }
 
-func handover(id, from, to string, mark, standing int64, record jobRecord) (kv.Transaction, error) {
+// handover returns the transaction that gives a job to another owner, under the
+// revisions of its mark and its record. fresh says that nothing is listed.
+func handover(id, from, to string, mark, standing int64, record jobRecord, fresh bool) (kv.Transaction, error) {
 	raw, err := encode(record)
 	if err != nil {
 		return kv.Transaction{}, err
 	}
-	state, err := encode(todoMark{})
+	state, err := encode(todoMark{Fresh: fresh})
 	if err != nil {
 		return kv.Transaction{}, err
 	}
--- a/internal/batchrun/records.go
+++ b/internal/batchrun/records.go
@@ -10,6 +10,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/gob"
 	"fmt"
 	"strings"
@@ -38,7 +39,8 @@
 	// taken effect.
 	ErrOutcomeUnknown = errors.New("batchrun: outcome is unknown")
 	// ErrTooLarge is returned for a job that the store cannot hold.
-	ErrTooLarge = errors.New("batchrun: batch job is too large")
+	ErrTooLarge      = errors.New("batchrun: batch job is too large")
+	errNobodyAnswers = errors.New("batchrun: no other owner answers")
 	// ErrCannotTell is returned when neither the job's owner nor the store answers.
 	ErrCannotTell = errors.New("batchrun: neither owner nor store answers")
 )
@@ -55,7 +57,7 @@
 
 // todoMark is the value of todo/OWNER/ID.
 type todoMark struct {
-	Fresh bool // nothing was done yet
+	Fresh bool // nothing is listed yet
 }
 
 func jobKey(id string) string                { return prefixJobs + id }
@@ -68,6 +70,17 @@
 
 func jobOfTodo(key string) string { return key[strings.LastIndexByte(key, '/')+1:] }
 
+// readRecord reads a job's record from the store; the store's record has
+// revision 0 if there is no such job.
+func readRecord(ctx context.Context, store kv.Shared, id string) (kv.Record, jobRecord, error) {
+	var record jobRecord
+	standing, err := store.Read(ctx, jobKey(id))
+	if err != nil || standing.Revision == 0 {
+		return standing, record, err
+	}
+	return standing, record, errors.Wrapf(decode(standing.Value, &record), "job %s", id)
+}
+
 func encode(v any) ([]byte, error) {
 	var b bytes.Buffer
 	err := gob.NewEncoder(&b).Encode(v)
--- /dev/null
+++ b/internal/batchrun/rehome.go
@@ -0,0 +1,127 @@
+package batchrun
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"siskinloom.example/siskinloom/internal/cluster"
+	"siskinloom.example/siskinloom/internal/events"
+	"siskinloom.example/siskinloom/internal/kv"
+)
+
+const (
+	// distrustFor is how long an owner that did not answer gets no new jobs while
+	// there are others. A dead process stays registered for its lease's time, and
+	// for longer when the store was away.
+	distrustFor = 5 * time.Second
+	// rehomeLimit bounds the move of a job whose owner does not answer.
+	rehomeLimit = 3 * time.Second
+)
+
+// trusted returns the owners without those that did not answer lately, or all if
+// none is left.
+func (d *Desk) trusted(owners []cluster.Member) []cluster.Member {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var trusted []cluster.Member
+	for _, o := range owners {
+		if at, found := d.silent[o.Name]; !found || time.Since(at) > distrustFor {
+			trusted = append(trusted, o)
+		}
+	}
+	if len(trusted) == 0 {
+		return owners
+	}
+	return trusted
+}
+
+func (d *Desk) distrust(owner string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.silent == nil {
+		d.silent = map[string]time.Time{}
+	}
+	d.silent[owner] = time.Now()
+}
+
+// tellAccepted tells the owner of a job that was just accepted for it. If it
+// does not answer, the job goes to another one: its mark alone would wait for
+// the owner's registration to lapse, which took four seconds after an outage of
+// the store in which the owner had died, half of the time that a step has.
+func (d *Desk) tellAccepted(owner, job string, revision int64) {
+	args := MarkArgs{Job: job, Revision: revision}
+	go func() {
+		if d.tell(owner, callMarked, args) == nil {
+			return
+		}
+		d.distrust(owner)
+		ctx, cancel := context.WithTimeout(context.Background(), rehomeLimit)
+		defer cancel()
+		if err := d.rehome(ctx, owner, job, revision); err != nil {
+			events.JobStays.Log(d.Log, logrus.Fields{"job": job, "owner": owner, "error": err.Error()})
+		}
+	}()
+}
+
+// rehome gives a job of which nothing is listed to an owner that answers. An
+// entry that is cut off finds none, and the job stays. The transaction's
+// conditions are the mark that the old owner would write under, and that it has
+// listed nothing; afterwards it can list nothing.
+func (d *Desk) rehome(ctx context.Context, from, job string, revision int64) error {
+	standing, record, err := readRecord(ctx, d.Store, job)
+	if err != nil || record.Owner != from || record.Ended {
+		return err
+	}
+	to, found := d.answering(ctx, affinity(record.Model, job))
+	if !found || to == from {
+		return errNobodyAnswers
+	}
+	record.Owner = to
+	t, err := handover(job, from, to, revision, standing.Revision, record, true)
+	if err != nil {
+		return err
+	}
+	t.Expect = append(t.Expect, kv.Expectation{Key: doneKey(job, 0)})
+	committed, err := d.Store.Commit(ctx, t)
+	if err != nil || !committed.Done {
+		return err // one that is not done moved, ended or got results meanwhile
+	}
+	d.remember(job, record)
+	d.tellOwner(to, callMarked, MarkArgs{Job: job, Revision: committed.Revision})
+	events.JobHandedOn.Log(d.Log, logrus.Fields{"job": job, "from": from, "to": to, "mark": revision})
+	return nil
+}
+
+// answering returns the first owner for a key that answers.
+func (d *Desk) answering(ctx context.Context, key string) (string, bool) {
+	owners := d.trusted(d.Members.Owners())
+	for range owners {
+		name := ownerFor(key, owners)
+		if d.Answers(ctx, name) {
+			return name, true
+		}
+		d.distrust(name)
+		owners = without(owners, name)
+	}
+	return "", false
+}
+
+// Answers tells whether a process answers calls.
+func (d *Desk) Answers(ctx context.Context, name string) bool {
+	if name == d.Local.Name {
+		return true
+	}
+	return d.call(ctx, name, callPing, 0, struct{}{}, &struct{}{}) == nil
+}
+
+func without(members []cluster.Member, name string) []cluster.Member {
+	var left []cluster.Member
+	for _, m := range members {
+		if m.Name != name {
+			left = append(left, m)
+		}
+	}
+	return left
+}
--- a/internal/batchrun/rpc.go
+++ b/internal/batchrun/rpc.go
@@ -14,6 +14,7 @@
 	callBody    = serviceName + ".Body"
 	callMarked  = serviceName + ".Marked"
 	callEnded   = serviceName + ".Ended"
+	callPing    = serviceName + ".Ping"
 )
 
 // callSlack is how much longer than its own wait a call to an owner may take.
@@ -69,6 +70,9 @@
 	return nil
 }
 
+// Ping implements the call of that name: this process answers.
+func (s *Service) Ping(struct{}, *struct{}) error { return nil }
+
 // MarkArgs tells an owner of a change of its mark for a job.
 type MarkArgs struct {
 	Job      string
--- a/internal/events/fleet.go
+++ b/internal/events/fleet.go
@@ -28,6 +28,7 @@
 	ItemListed     = define(2111, logrus.InfoLevel, "item has its result")
 	ItemScoreLost  = define(2112, logrus.WarnLevel, "scoring call gave no score")
 	ResultsDelayed = define(2113, logrus.WarnLevel, "results could not be written")
+	JobStays       = define(2117, logrus.WarnLevel, "batch job stays with an owner that does not answer")
 	OwnerNotTold   = define(2115, logrus.InfoLevel, "owner was not told of its mark; its watch will tell it")
 	JobSwept       = define(2116, logrus.InfoLevel, "old batch job removed from the store")
 	ReadFailed     = define(2114, logrus.WarnLevel, "results of a batch job could not be read")
--- a/internal/policy/storepath/path.go
+++ b/internal/policy/storepath/path.go
@@ -25,11 +25,14 @@
 	mostPause  = 4 * time.Second
 )
 
-// Path is what one process believes of its way to the store. It is not safe
-// for concurrent use.
+// Path is what one process believes of its way to the store. Calls are named by
+// the moment at which they began: one that began before another that was
+// answered may hang on a lost connection and says nothing of the way. It is not
+// safe for concurrent use.
 type Path struct {
-	away     bool // others reached the store when this process did not
-	failures int  // of the own way, in a row
+	away     bool      // others reached the store when this process did not
+	failures int       // of the own way, in a row
+	served   time.Time // beginning of the last call that was answered by the own way
 	looked   time.Time
 	pause    time.Duration // last pause after others failed
 	until    time.Time     // others are not asked before
@@ -47,6 +50,12 @@
 // MayAsk tells whether others may be asked at all.
 func (p *Path) MayAsk(now time.Time) bool { return !now.Before(p.until) }
 
+// Down tells whether the store seems to answer nobody, so that a write should
+// be preceded by a look: one that goes out into an outage has no outcome.
+func (p *Path) Down(now time.Time) bool {
+	return !p.away && p.failures >= failuresToLeave && !p.MayAsk(now)
+}
+
 // Look tells whether the own way should be tried beside a call that goes by way
 // of others, and counts it as tried.
 func (p *Path) Look(now time.Time) bool {
@@ -57,24 +66,29 @@
 	return true
 }
 
-// Served notes an answer of the store by the own way, and tells whether calls
-// return to it.
-func (p *Path) Served() (back bool) {
-	back = p.away
+// Served notes an answer of the store by the own way, and tells whether that
+// ends a doubt about it.
+func (p *Path) Served(began time.Time) (turned bool) {
+	if began.After(p.served) {
+		p.served = began
+	}
+	turned = p.away || p.failures >= failuresToLeave
 	p.away, p.failures = false, 0
-	return back
+	return turned
 }
 
-// Failed notes that the own way brought no answer.
-func (p *Path) Failed() { p.failures++ }
+// Failed notes that a call by the own way brought no answer.
+func (p *Path) Failed(began time.Time) {
+	if !began.Before(p.served) {
+		p.failures++
+	}
+}
 
-// OthersServed notes that another process reached the store, and tells whether
-// calls leave the own way: doubted says that it brought no answer to this call
-// or to those before. A call that was passed on because the process was away
-// does not count, as the own way may have come back meanwhile.
-func (p *Path) OthersServed(now time.Time, doubted bool) (left bool) {
-	p.pause = 0
-	if p.away || !doubted {
+// OthersServed notes that another process reached the store for a call, and
+// tells whether calls leave the own way.
+func (p *Path) OthersServed(now, began time.Time) (left bool) {
+	p.pause, p.until = 0, time.Time{}
+	if p.away || began.Before(p.served) {
 		return false
 	}
 	p.away, p.looked = true, now
@@ -83,7 +97,7 @@
 
 // OthersFailed notes that no other process reached the store either.
 func (p *Path) OthersFailed(now time.Time) {
-	p.away, p.failures = false, 0
+	p.away = false
 	p.pause = min(max(2*p.pause, firstPause), mostPause)
 	p.until = now.Add(p.pause)
 }
--- a/internal/storepath/others.go
+++ b/internal/storepath/others.go
@@ -40,13 +40,13 @@
 func (e *failsOthersError) Unwrap() error { return kv.ErrUnavailable }
 
 // askOthers makes the call by way of another process: the one that helped last,
-// or the first that shows itself able to. doubted says that the own way brought
-// no answer.
-func (s *Store) askOthers(ctx context.Context, q *Query, doubted bool) outcome {
+// or the first that shows itself able to. began is when the call first went
+// out.
+func (s *Store) askOthers(ctx context.Context, q *Query, began time.Time) outcome {
 	if helper, found := s.standingHelper(); found {
 		o := s.askOne(ctx, helper, q)
 		if answered(o.err) {
-			s.othersServed(helper, doubted)
+			s.othersServed(helper, began)
 			return o
 		}
 		s.forgetHelper(helper)
@@ -62,7 +62,7 @@
 	if !answered(o.err) {
 		return outcome{err: errors.Wrap(kv.ErrUnavailable, o.err.Error())}
 	}
-	s.othersServed(helper, doubted)
+	s.othersServed(helper, began)
 	if q.repeatable() {
 		return o
 	}
@@ -185,13 +185,12 @@
 	}
 }
 
-func (s *Store) othersServed(m cluster.Member, doubted bool) {
+func (s *Store) othersServed(m cluster.Member, began time.Time) {
 	s.mu.Lock()
-	left := s.path.OthersServed(time.Now(), doubted)
+	left := s.path.OthersServed(time.Now(), began)
 	s.helper = m.Name
 	if left {
-		close(s.left)
-		s.left = make(chan struct{})
+		s.turn()
 	}
 	s.mu.Unlock()
 	if left {
--- a/internal/storepath/store.go
+++ b/internal/storepath/store.go
@@ -45,7 +45,8 @@
 
 	mu   sync.Mutex
 	path policy.Path
-	left chan struct{} // closed when calls leave the own way
+	// turned is closed and replaced when calls leave the own way or return to it.
+	turned chan struct{}
 	// helper is the process that last passed a call on, empty if none did lately.
 	helper string
 }
@@ -60,7 +61,7 @@
 		passing:  make(chan struct{}, mostPassedOn),
 		passedOn: metrics.GetOrRegisterCounter("store.passed-on", registry),
 		byOthers: metrics.GetOrRegisterCounter("store.by-others", registry),
-		left:     make(chan struct{}),
+		turned:   make(chan struct{}),
 	}
 }
 
@@ -74,16 +75,19 @@
 func (s *Store) do(ctx context.Context, q *Query) (Result, error) {
 	s.mu.Lock()
 	now := time.Now()
-	away, othersFirst, look := s.path.Away(), s.path.OthersFirst(now), s.path.Look(now)
+	othersFirst, look, down := s.path.OthersFirst(now), s.path.Look(now), s.path.Down(now)
 	s.mu.Unlock()
 	if look {
-		go s.look()
+		go s.look(context.Background())
 	}
 	if othersFirst {
-		if o := s.askOthers(ctx, q, !away); !errors.Is(o.err, kv.ErrUnavailable) || ctx.Err() != nil {
+		if o := s.askOthers(ctx, q, now); !errors.Is(o.err, kv.ErrUnavailable) || ctx.Err() != nil {
 			return o.result, o.err
 		}
 	}
+	if down && !q.repeatable() && !s.look(ctx) {
+		return Result{}, errors.Wrap(kv.ErrUnavailable, "the store answers nobody; the write was not sent")
+	}
 	return s.ownWay(ctx, q)
 }
 
@@ -92,6 +96,7 @@
 func (s *Store) ownWay(ctx context.Context, q *Query) (Result, error) {
 	direct, cancel := context.WithCancel(ctx)
 	defer cancel()
+	began := time.Now()
 	own := make(chan outcome, 1)
 	go func() {
 		result, err := execute(direct, s.own, q)
@@ -99,74 +104,95 @@
 	}()
 	timer := time.NewTimer(q.Wait + patience)
 	defer timer.Stop()
-	select {
-	case o := <-own:
-		return s.settle(ctx, q, o)
-	case <-s.leaves():
-	case <-timer.C:
+	for {
+		select {
+		case o := <-own:
+			return s.settle(ctx, q, began, o)
+		case <-timer.C:
+			return s.overdue(ctx, q, began, own)
+		case <-s.turns():
+			if time.Since(began) > patience {
+				return s.again(ctx, q)
+			}
+		}
 	}
-	return s.overdue(ctx, q, own)
 }
 
 // overdue asks another process while the own answer stays out. A call that must
 // not be made twice is not repeated there: a read shows whether the own way is
 // cut, and the outcome is unknown if it is.
-func (s *Store) overdue(ctx context.Context, q *Query, own <-chan outcome) (Result, error) {
-	if !s.mayAsk() {
-		return s.settle(ctx, q, <-own)
-	}
-	asked := q
-	if !q.repeatable() {
-		asked = &Query{Operation: Read, Key: lookKey}
-	}
+func (s *Store) overdue(ctx context.Context, q *Query, began time.Time, own <-chan outcome) (Result, error) {
+	turned := s.turns()
 	others := make(chan outcome, 1)
-	go func() { others <- s.askOthers(ctx, asked, true) }()
+	if s.mayAsk() {
+		asked := q
+		if !q.repeatable() {
+			asked = &Query{Operation: Read, Key: lookKey}
+		}
+		go func() { others <- s.askOthers(ctx, asked, began) }()
+	}
 	for {
 		select {
 		case o := <-own:
-			return s.settle(ctx, q, o)
+			return s.settle(ctx, q, began, o)
 		case o := <-others:
 			switch {
 			case !answered(o.err):
-				others = nil
+				continue
 			case q.repeatable():
 				return o.result, o.err
-			default:
-				return Result{}, errors.Wrap(kv.ErrUnknown, "cut off from the store with a write under way")
 			}
+			return Result{}, errAdrift
+		case <-turned: // another call found the way that works
+			return s.again(ctx, q)
 		}
 	}
 }
 
+// again repeats a call whose connection is given up, if it may be repeated.
+func (s *Store) again(ctx context.Context, q *Query) (Result, error) {
+	if !q.repeatable() {
+		return Result{}, errAdrift
+	}
+	return s.do(ctx, q)
+}
+
+// errAdrift is the end of a write that was under way when calls left the own way
+// or returned to it.
+var errAdrift = errors.Wrap(kv.ErrUnknown, "storepath: a write was under way when its connection was lost")
+
 // settle takes in the end of a call by the own way. One that certainly had no
 // effect is made by way of another process.
-func (s *Store) settle(ctx context.Context, q *Query, o outcome) (Result, error) {
+func (s *Store) settle(ctx context.Context, q *Query, began time.Time, o outcome) (Result, error) {
 	if answered(o.err) {
-		s.served()
+		s.served(began)
 		return o.result, o.err
 	}
 	if ctx.Err() != nil {
 		return o.result, o.err // the caller ended it, which says nothing of the store
 	}
 	s.mu.Lock()
-	s.path.Failed()
+	s.path.Failed(began)
 	s.mu.Unlock()
 	if !errors.Is(o.err, kv.ErrUnavailable) || !s.mayAsk() {
 		return o.result, o.err
 	}
-	if by := s.askOthers(ctx, q, true); !errors.Is(by.err, kv.ErrUnavailable) {
+	if by := s.askOthers(ctx, q, began); !errors.Is(by.err, kv.ErrUnavailable) {
 		return by.result, by.err
 	}
 	return o.result, o.err
 }
 
-// look tries the own way while calls go by way of others.
-func (s *Store) look() {
-	ctx, cancel := context.WithTimeout(context.Background(), passLimit)
+// look tells whether the own way works.
+func (s *Store) look(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
-	if _, err := s.own.Read(ctx, lookKey); err == nil {
-		s.served()
+	began := time.Now()
+	if _, err := s.own.Read(ctx, lookKey); err != nil {
+		return false
 	}
+	s.served(began)
+	return true
 }
 
 func (s *Store) away() bool {
@@ -181,19 +207,28 @@
 	return s.path.MayAsk(time.Now())
 }
 
-// leaves returns a channel that is closed when calls leave the own way, so that
-// those under way need not wait out their time.
-func (s *Store) leaves() <-chan struct{} {
+// turns returns a channel that is closed when calls leave the own way or return
+// to it, so that those under way need not wait out their time.
+func (s *Store) turns() <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.left
+	return s.turned
+}
+
+// turn wakes the calls under way; mu is held.
+func (s *Store) turn() {
+	close(s.turned)
+	s.turned = make(chan struct{})
 }
 
-func (s *Store) served() {
+func (s *Store) served(began time.Time) {
 	s.mu.Lock()
-	back := s.path.Served()
+	away := s.path.Away()
+	if s.path.Served(began) {
+		s.turn()
+	}
 	s.mu.Unlock()
-	if back {
+	if away {
 		events.StoreDirect.Log(s.log, logrus.Fields{})
 	}
 }
--- a/internal/storepath/storepath_test.go
+++ b/internal/storepath/storepath_test.go
@@ -226,6 +226,34 @@
 		Expect(errors.Is(err, kv.ErrUnavailable)).To(BeTrue())
 	})
 
+	It("sends no write into an outage that it knows of, so that its outcome is certain", func() {
+		// What the caller sees: the store is silent for seconds. A submission that is
+		// sent into the silence may have been accepted for all that anybody knows, and
+		// its submitter waits until it gives up; one that is preceded by a look is
+		// refused at once as certainly not run.
+		all := newProcesses(ctx, store, "a", "b")
+		for _, p := range all {
+			p.own.refuses.Store(true)
+		}
+		for range 3 {
+			_, err := all[0].store.Read(ctx, "any")
+			Expect(errors.Is(err, kv.ErrUnavailable)).To(BeTrue())
+		}
+		for _, p := range all {
+			p.own.silent.Store(true)
+			p.own.refuses.Store(false)
+		}
+		write := kv.Transaction{Puts: []kv.Put{{Key: "k", Value: []byte("v")}}}
+		_, err := all[0].store.Commit(ctx, write)
+		Expect(errors.Is(err, kv.ErrUnavailable)).To(BeTrue())
+		for _, p := range all {
+			p.own.silent.Store(false)
+		}
+		committed, err := all[0].store.Commit(ctx, write)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(committed.Done).To(BeTrue())
+	})
+
 	It("passes on the store's own refusals", func() {
 		all := newProcesses(ctx, store, "a", "b")
 		all[0].own.refuses.Store(true)
