--- a/internal/batchrun/batchrun_test.go
+++ b/internal/batchrun/batchrun_test.go
@@ -271,6 +271,51 @@
 		Expect(llm.resumed).To(Equal([]int64{2, 2}))
 	})
 
+	It("is ended by its owner's word, without reading the store, and stays readable", func() {
+		// What the caller sees: nothing. Each end is sent again at other processes;
+		// reading the record for each made a twelfth of all calls to the store.
+		Expect(a.desk.Submit(context.Background(), spec("j", 2))).To(Succeed())
+		owner, other := owned("j")
+		Eventually(results(other, "j")).WithTimeout(patience).Should(Equal(2))
+		third := newProcess("c", store, llm)
+		third.desk.Members = other.members
+		third.desk.Models = func() []string { return []string{"m"} }
+		reads := store.Count("read")
+		Expect(third.desk.End(context.Background(), "j")).To(Succeed())
+		Expect(store.Count("read")).To(Equal(reads))
+		Eventually(owner.owner.Jobs).WithTimeout(patience).ShouldNot(HaveKey("j"))
+		fourth := newProcess("d", store, llm)
+		fourth.desk.Members = other.members
+		fourth.desk.Models = third.desk.Models
+		Eventually(func() int {
+			before := store.Count("read")
+			Expect(fourth.desk.End(context.Background(), "j")).To(Succeed())
+			return store.Count("read") - before
+		}).WithTimeout(patience).Should(BeZero(), "the owner is told of the end a moment after its mark went")
+		all, err := readAll(fourth.desk, "j")
+		Expect(err).NotTo(HaveOccurred())
+		checkResults(all)
+		_, err = fourth.desk.Body(context.Background(), "j", "i0")
+		Expect(err).To(MatchError(batchrun.ErrNoJob))
+	})
+
+	It("is ended although its owner's word is out of date", func() {
+		// What happens: the owner was cut off and lost the job, which it does not know.
+		// Its word names a mark that is gone; the end must not be taken for done.
+		llm.hold = make(chan struct{})
+		Expect(a.desk.Submit(context.Background(), spec("j", 2))).To(Succeed())
+		owner, other := owned("j")
+		entry := newProcess("e", store, llm)
+		entry.desk.Members = other.members
+		Expect(results(entry, "j")()).To(Equal(0))
+		owner.cutOff.Store(true)
+		Expect(other.mover.MoveAll(context.Background(), owner.name)).To(Succeed())
+		Expect(entry.desk.End(context.Background(), "j")).To(Succeed())
+		record, err := store.Read(context.Background(), "todo/"+other.name+"/j")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(record.Revision).To(BeZero(), "the new owner's mark is gone")
+	})
+
 	It("is read at its owner while the store is away, and goes on", func() {
 		// The store is down for seconds. Trainers still read what is durable, runs go
 		// on, and the results decided meanwhile are listed once the store is back.
--- a/internal/batchrun/desk.go
+++ b/internal/batchrun/desk.go
@@ -22,9 +22,6 @@
 	writeTries = 3
 	// knownJobs bounds what is remembered of jobs that other processes own.
 	knownJobs = 64
-	// ownerTrust is how long an owner is asked without looking at the record: one
-	// whose job moved answers that it has it no more, so staleness costs one call.
-	ownerTrust = 30 * time.Second
 	// storePoll is the pause between two looks into the store for new results
 	// while the owner does not answer.
 	storePoll = 400 * time.Millisecond
@@ -49,7 +46,6 @@
 // knownJob is what this process remembers of a job.
 type knownJob struct {
 	record  jobRecord
-	asOf    time.Time
 	results []batch.Result // read from the store; a prefix of all
 	lastKey string         // of the last chunk in results
 }
@@ -163,8 +159,14 @@
 	if known := d.remembered(id); known != nil && known.record.Ended {
 		return nil
 	}
-	missing := false
+	missing, asked := false, false
 	err := d.write(ctx, func() (bool, error) {
+		if !asked {
+			asked = true
+			if done, err := d.endAtOwner(ctx, id); done || err != nil {
+				return done, err
+			}
+		}
 		done, found, err := d.tryEnd(ctx, id)
 		missing = err == nil && !found
 		return done || missing, err
@@ -178,33 +180,72 @@
 	return err
 }
 
-func (d *Desk) tryEnd(ctx context.Context, id string) (done, found bool, err error) {
-	standing, record, err := d.fetch(ctx, id)
-	if err != nil || standing.Revision == 0 {
-		return false, false, err
+// endAtOwner ends a job under the mark that its owner names, which spares
+// reading the record: whoever changes the record changes the mark as well. done
+// is false if no owner knows the job, or it moved meanwhile.
+func (d *Desk) endAtOwner(ctx context.Context, id string) (done bool, err error) {
+	owner, found := d.likelyOwner(ctx, id)
+	if !found {
+		return false, nil
 	}
-	if record.Ended {
-		return true, true, nil
+	standing, err := d.askStanding(ctx, owner, id)
+	switch {
+	case err != nil:
+		return false, nil // the store is asked instead
+	case standing.Ended:
+		return true, nil // not remembered, as the rest of the record is not known
+	case !standing.Owned:
+		return false, nil
+	}
+	expect := kv.Expectation{Key: todoKey(owner, id), Revision: standing.Mark}
+	return d.commitEnd(ctx, id, standing.Record, expect)
+}
+
+func (d *Desk) askStanding(ctx context.Context, owner, id string) (StandingReply, error) {
+	if owner == d.Local.Name {
+		return d.Local.standing(id), nil
+	}
+	var reply StandingReply
+	if err := d.call(ctx, owner, callStands, 0, StandingArgs{Job: id}, &reply); err != nil {
+		return StandingReply{}, err // the reply may still be written to
 	}
+	return reply, nil
+}
+
+// commitEnd writes a job's end under a condition that says that the record is
+// as given.
+func (d *Desk) commitEnd(ctx context.Context, id string, record jobRecord, expect kv.Expectation) (done bool, err error) {
 	record.Ended = true
 	raw, err := encode(record)
 	if err != nil {
-		return false, true, err
+		return false, err
 	}
 	committed, err := d.Store.Commit(ctx, kv.Transaction{
-		Expect: []kv.Expectation{{Key: jobKey(id), Revision: standing.Revision}},
+		Expect: []kv.Expectation{expect},
 		Puts:   []kv.Put{{Key: jobKey(id), Value: raw}},
 		Remove: []string{todoKey(record.Owner, id)},
 	})
-	if err != nil {
-		return false, true, err
-	}
-	if !committed.Done {
-		return false, true, errors.Wrap(kv.ErrUnknown, "the job moved meanwhile") // look again
+	if err != nil || !committed.Done {
+		return false, err
 	}
 	d.remember(id, record)
 	d.tellOwner(record.Owner, callEnded, MarkArgs{Job: id, Revision: committed.Revision})
-	return true, true, nil
+	return true, nil
+}
+
+func (d *Desk) tryEnd(ctx context.Context, id string) (done, found bool, err error) {
+	standing, record, err := d.fetch(ctx, id)
+	if err != nil || standing.Revision == 0 {
+		return false, false, err
+	}
+	if record.Ended {
+		return true, true, nil
+	}
+	done, err = d.commitEnd(ctx, id, record, kv.Expectation{Key: jobKey(id), Revision: standing.Revision})
+	if err == nil && !done {
+		err = errors.Wrap(kv.ErrUnknown, "the job moved meanwhile") // look again
+	}
+	return done, true, err
 }
 
 // TellMoved tells a job's new owner of its mark.
@@ -257,7 +298,7 @@
 		d.forgetOldest()
 	}
 	ended := known.record.Ended
-	known.record, known.asOf = record, time.Now()
+	known.record = record
 	known.record.Ended = ended || record.Ended
 }
 
--- a/internal/batchrun/owner.go
+++ b/internal/batchrun/owner.go
@@ -51,7 +51,9 @@
 	// Certain tells whether nobody can have moved this process's jobs unnoticed;
 	// nil: always.
 	Certain func() bool
-	Moves   bool
+	// Spared tells that no job will be marked for this process, as others are
+	// there to own them; nil: never.
+	Spared func() bool
 	// Adopted is called with each job taken on; may be nil.
 	Adopted func(*batch.Spec)
 	// The store's state as the follower of the marks sees it; may be nil.
@@ -82,6 +84,7 @@
 type ownedJob struct {
 	id     string
 	mark   int64 // revision of the owner's mark; changes only when it is adopted
+	parts  int   // values that hold the spec
 	ctx    context.Context
 	cancel context.CancelFunc
 
@@ -118,7 +121,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	o.lifetime = ctx
 	var listed atomic.Bool
-	marks := &cluster.Follower{Store: o.Store, Failed: o.Lost, Recovered: o.Back, Wait: marksWait, Topic: &cluster.Topic{
+	marks := &cluster.Follower{Store: o.Store, Failed: o.Lost, Recovered: o.Back, Wait: marksWait, Idle: o.idle, Topic: &cluster.Topic{
 		Prefix: todoPrefix(o.Name),
 		Changed: func(r kv.Record) {
 			afterStart := listed.Load() // of the record, not of the goroutine that takes it in
@@ -132,6 +135,11 @@
 	return group.Wait()
 }
 
+// idle tells whether the marks need not be watched.
+func (o *Owner) idle() bool {
+	return o.Spared != nil && o.Spared() && len(o.Jobs()) == 0
+}
+
 // marked takes in a mark that names this process. One that stood before this
 // process started may belong to its predecessor, whose last write may still
 // take effect; writing the mark anew makes that write's condition fail.
@@ -181,10 +189,10 @@
 	}
 	defer o.unclaim(id, mark.Revision)
 	for ctx.Err() == nil {
-		spec, durable, err := o.load(ctx, id, mark)
+		loaded, err := o.load(ctx, id, mark)
 		switch {
 		case err == nil:
-			o.begin(ctx, id, mark.Revision, batch.NewJob(spec, durable))
+			o.begin(ctx, id, mark.Revision, loaded)
 			return
 		case errors.Is(err, ErrNoJob):
 			return
@@ -216,31 +224,45 @@
 	}
 }
 
-func (o *Owner) load(ctx context.Context, id string, mark kv.Record) (*batch.Spec, []batch.Result, error) {
+// loadedJob is a job as the store has it.
+type loadedJob struct {
+	job   *batch.Job
+	parts int // values that hold the spec
+}
+
+func (o *Owner) load(ctx context.Context, id string, mark kv.Record) (loadedJob, error) {
 	var state todoMark
 	if err := decode(mark.Value, &state); err != nil {
-		return nil, nil, err
+		return loadedJob{}, err
 	}
-	parts, err := kv.ReadAll(ctx, o.Store, specPrefix(id))
+	page, err := kv.ReadAll(ctx, o.Store, specPrefix(id))
 	if err != nil {
-		return nil, nil, err
+		return loadedJob{}, err
 	}
-	if len(parts.Records) == 0 {
-		return nil, nil, ErrNoJob
+	parts := len(page.Records)
+	if parts == 0 {
+		return loadedJob{}, ErrNoJob
 	}
-	spec, err := joinSpec(parts.Records, len(parts.Records))
-	if err != nil || state.Fresh {
-		return spec, nil, err
+	spec, err := joinSpec(page.Records, parts)
+	if err != nil {
+		return loadedJob{}, err
+	}
+	if state.Fresh {
+		return loadedJob{batch.NewJob(spec, nil), parts}, nil
 	}
 	done, err := kv.ReadAll(ctx, o.Store, donePrefix(id))
 	if err != nil {
-		return nil, nil, err
+		return loadedJob{}, err
+	}
+	durable, err := joinDone(done.Records)
+	if err != nil {
+		return loadedJob{}, err
 	}
-	results, err := joinDone(done.Records)
-	return spec, results, err
+	return loadedJob{batch.NewJob(spec, durable), parts}, nil
 }
 
-func (o *Owner) begin(ctx context.Context, id string, mark int64, job *batch.Job) {
+func (o *Owner) begin(ctx context.Context, id string, mark int64, loaded loadedJob) {
+	job := loaded.job
 	o.mu.Lock()
 	if o.ended.since(id, mark) {
 		o.mu.Unlock()
@@ -253,7 +275,7 @@
 		}
 		old.cancel()
 	}
-	owned := &ownedJob{id: id, mark: mark, job: job, readers: make(chan struct{})}
+	owned := &ownedJob{id: id, mark: mark, parts: loaded.parts, job: job, readers: make(chan struct{})}
 	owned.ctx, owned.cancel = context.WithCancel(ctx)
 	o.jobs[id] = owned
 	resumed := o.left.Give(time.Now(), job)
@@ -416,7 +438,7 @@
 func (o *Owner) body(args BodyArgs) BodyReply {
 	j := o.find(args.Job)
 	if j == nil {
-		return BodyReply{}
+		return BodyReply{Ended: o.hasEnded(args.Job)}
 	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -427,6 +449,24 @@
 	return BodyReply{Owned: true, Found: true, Body: body}
 }
 
+// hasEnded tells whether a job is known to have ended.
+func (o *Owner) hasEnded(id string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.ended.done[id]
+}
+
+// standing tells under which mark this process has a job.
+func (o *Owner) standing(id string) StandingReply {
+	j := o.find(id)
+	if j == nil {
+		return StandingReply{Ended: o.hasEnded(id)}
+	}
+	spec := j.job.Spec
+	record := jobRecord{Owner: o.Name, Model: spec.Model, Submitted: spec.Submitted, Total: len(spec.Items), Parts: j.parts}
+	return StandingReply{Owned: true, Mark: j.mark, Record: record}
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/internal/batchrun/reading.go
+++ b/internal/batchrun/reading.go
@@ -45,22 +45,28 @@
 // fromOwner asks the job's owner as far as it is known or can be guessed. The
 // zero answer stands for none.
 func (d *Desk) fromOwner(ctx context.Context, id string, from int, wait time.Duration) ReadReply {
-	known := d.snapshot(id)
-	if known == nil {
-		owner, found := d.locate(ctx, id)
-		if !found {
-			return ReadReply{}
-		}
-		known = &knownJob{record: jobRecord{Owner: owner}}
+	owner, found := d.likelyOwner(ctx, id)
+	if !found {
+		return ReadReply{}
 	}
-	reply, err := d.askOwner(ctx, known.record.Owner, id, from, wait)
+	reply, err := d.askOwner(ctx, owner, id, from, wait)
 	if err != nil {
 		return ReadReply{}
 	}
-	reply.Ended = reply.Ended || reply.Gone && known.record.Ended
+	known := d.snapshot(id)
+	reply.Ended = reply.Ended || reply.Gone && known != nil && known.record.Ended
 	return reply
 }
 
+// likelyOwner names the job's owner as far as it is remembered, or as the owners
+// of today's models say.
+func (d *Desk) likelyOwner(ctx context.Context, id string) (owner string, found bool) {
+	if known := d.snapshot(id); known != nil {
+		return known.record.Owner, true
+	}
+	return d.locate(ctx, id)
+}
+
 // locate finds a job's owner among those that own the jobs of the models served
 // today, so that the many processes at which a job is read make no call to the
 // store for it.
@@ -114,25 +120,6 @@
 	return errors.Wrap(ErrCannotTell, err.Error())
 }
 
-// record returns the job's record: a remembered one while it is recent enough
-// to name the owner, or any remembered one if the store does not answer.
-func (d *Desk) record(ctx context.Context, id string) (jobRecord, error) {
-	known := d.snapshot(id)
-	if known != nil && (known.record.Ended || time.Since(known.asOf) < ownerTrust) {
-		return known.record, nil
-	}
-	standing, record, err := d.fetch(ctx, id)
-	switch {
-	case err != nil && known != nil:
-		return known.record, nil
-	case err != nil:
-		return jobRecord{}, err
-	case standing.Revision == 0:
-		return jobRecord{}, ErrNoJob
-	}
-	return record, nil
-}
-
 func (d *Desk) snapshot(id string) *knownJob {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -251,15 +238,15 @@
 // Body returns the body of an item that is not listed yet. ErrNoJob: the job
 // does not exist, has ended, or has no such item that is not listed.
 func (d *Desk) Body(ctx context.Context, id, item string) ([]byte, error) {
-	record, err := d.record(ctx, id)
-	if err != nil {
-		return nil, d.cannotTell(id, err)
-	}
-	if record.Ended {
-		return nil, ErrNoJob
-	}
-	if reply, err := d.askBody(ctx, record.Owner, id, item); err == nil && reply.Found {
-		return reply.Body, nil
+	if owner, found := d.likelyOwner(ctx, id); found {
+		reply, err := d.askBody(ctx, owner, id, item)
+		switch {
+		case err != nil:
+		case reply.Found:
+			return reply.Body, nil
+		case reply.Ended, reply.Owned: // listed, or no item of the job
+			return nil, ErrNoJob
+		}
 	}
 	return d.storedBody(ctx, id, item)
 }
--- a/internal/batchrun/rpc.go
+++ b/internal/batchrun/rpc.go
@@ -15,6 +15,7 @@
 	callMarked  = serviceName + ".Marked"
 	callEnded   = serviceName + ".Ended"
 	callPing    = serviceName + ".Ping"
+	callStands  = serviceName + ".Standing"
 )
 
 // callSlack is how much longer than its own wait a call to an owner may take.
@@ -51,6 +52,7 @@
 // BodyReply is an owner's answer.
 type BodyReply struct {
 	Owned bool
+	Ended bool // the job is known to have ended
 	Found bool // the item is not listed yet
 	Body  []byte
 }
@@ -70,6 +72,23 @@
 	return nil
 }
 
+// StandingArgs asks an owner how a job stands.
+type StandingArgs struct{ Job string }
+
+// StandingReply is an owner's answer.
+type StandingReply struct {
+	Owned  bool
+	Ended  bool      // the job is known to have ended
+	Mark   int64     // revision of the owner's mark
+	Record jobRecord // as the store has it while that mark stands
+}
+
+// Standing implements the call of that name.
+func (s *Service) Standing(args StandingArgs, reply *StandingReply) error {
+	*reply = s.owner.standing(args.Job)
+	return nil
+}
+
 // Ping implements the call of that name: this process answers.
 func (s *Service) Ping(struct{}, *struct{}) error { return nil }
 
--- a/internal/cluster/follow.go
+++ b/internal/cluster/follow.go
@@ -26,6 +26,8 @@
 	// spare, and one that is down is not worth more calls than that.
 	firstRetry = 100 * time.Millisecond
 	mostRetry  = 700 * time.Millisecond
+	// idleLook is how often an idle follower looks whether it still is.
+	idleLook = time.Second
 )
 
 // Follower follows one prefix of the store.
@@ -37,6 +39,9 @@
 	// Gather is how long changes are gathered after some came, so that a crowd of
 	// them makes few calls.
 	Gather time.Duration
+	// Idle tells that changes are of no use now; the follower then makes no calls,
+	// and goes on from where it stood. nil: never.
+	Idle func() bool
 	// Heard is called after each call that succeeded, with the revision up to
 	// which everything was told; may be nil.
 	Heard func(asOf int64)
@@ -74,6 +79,10 @@
 	if asOf < 0 {
 		return f.list(ctx)
 	}
+	if f.Idle != nil && f.Idle() {
+		sleep(ctx, idleLook)
+		return asOf, nil
+	}
 	changes, err := f.Store.Await(ctx, f.Topic.Prefix, asOf, max(f.Wait, watchWait))
 	if err != nil {
 		return 0, err
--- a/internal/cluster/subscribe.go
+++ b/internal/cluster/subscribe.go
@@ -20,7 +20,7 @@
 	// scoutsStart is how long after its own start a process waits for scouts that
 	// have just started as well, asking them every askAgainEvery.
 	scoutsStart   = 2500 * time.Millisecond
-	askAgainEvery = 250 * time.Millisecond
+	askAgainEvery = 500 * time.Millisecond
 	// newsSlack is how much longer than its own wait a call for news may take.
 	newsSlack = 500 * time.Millisecond
 )
@@ -47,7 +47,7 @@
 
 // Run keeps the topics up to date until ctx ends.
 func (s *Subscriber) Run(ctx context.Context) error {
-	s.listAll(ctx)
+	s.listMembers(ctx)
 	began := time.Now()
 	for ctx.Err() == nil {
 		s.fromScouts(ctx)
@@ -56,7 +56,7 @@
 		case !s.Known && time.Since(began) < scoutsStart:
 			// The scouts have just started as well and may not be registered yet.
 			sleep(ctx, askAgainEvery)
-			s.list(ctx, func(t *Topic) bool { return t.Prefix == prefixLive })
+			s.listMembers(ctx)
 		default:
 			s.direct(ctx)
 		}
@@ -64,32 +64,25 @@
 	return nil
 }
 
-// listAll lists every topic once from the store, unless they are known. To go on
-// following the store at the start would cost each process a call for every
-// endpoint that registers itself, in the seconds in which all of them do.
-func (s *Subscriber) listAll(ctx context.Context) {
-	if !s.Known {
-		s.list(ctx, func(*Topic) bool { return true })
+// listMembers lists the members from the store, unless everything is known: a
+// scout has the rest. To follow the store at the start would cost each process a
+// call for every endpoint that registers itself, in the seconds in which all of
+// them do.
+func (s *Subscriber) listMembers(ctx context.Context) {
+	if s.Known {
+		return
 	}
-}
-
-// list lists some of the topics from the store.
-func (s *Subscriber) list(ctx context.Context, which func(*Topic) bool) {
-	var group errgroup.Group
 	for _, topic := range s.Topics {
-		if !which(topic) {
+		if topic.Prefix != prefixLive {
 			continue
 		}
-		group.Go(func() error {
-			page, err := kv.ReadAll(ctx, s.Store, topic.Prefix)
-			if err == nil {
-				topic.listing(page)
-			}
-			return err
-		})
-	}
-	if err := group.Wait(); err != nil && s.Failed != nil && ctx.Err() == nil {
-		s.Failed(err)
+		page, err := kv.ReadAll(ctx, s.Store, topic.Prefix)
+		switch {
+		case err == nil:
+			topic.listing(page)
+		case s.Failed != nil && ctx.Err() == nil:
+			s.Failed(err)
+		}
 	}
 }
 
--- a/internal/modelrun/modelrun.go
+++ b/internal/modelrun/modelrun.go
@@ -19,8 +19,9 @@
 )
 
 const (
-	// planEvery is how often loads are planned; a load takes about a second.
-	planEvery = 100 * time.Millisecond
+	// planEvery is how often loads are planned; a load takes about a second, and
+	// each round with orders asks the store whether the term stands.
+	planEvery = 200 * time.Millisecond
 	// orderLimit is how long an engine may take to answer an order.
 	orderLimit = time.Second
 )
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -145,6 +145,7 @@
 	n.mover = &batchrun.Mover{Self: s.ID, Store: a.Store, Members: n.members, Log: log, Unsettled: n.trouble.recent, Answers: n.desk.Answers, Tell: n.desk.TellMoved}
 	n.gate = gate.New(n.directory, a.Sender, log, registry)
 	n.owner.Certain = n.registrar.Certain
+	n.owner.Spared = n.spared
 	n.owner.Adopted = func(spec *batch.Spec) {
 		modelrun.Tell(context.Background(), n.members, peers, modelrun.NeedArgs{Model: spec.Model, Version: spec.MinVersion, Items: len(spec.Items)})
 	}
@@ -165,6 +166,12 @@
 	event.Log(n.log, logrus.Fields{"term": term})
 }
 
+// spared tells whether workers own all jobs, so that this process gets none.
+func (n *Node) spared() bool {
+	owners := n.members.Owners()
+	return !n.settings.Worker && len(owners) > 0 && owners[0].Worker
+}
+
 func (n *Node) leading() bool {
 	_, leads := n.leader.Term(time.Now())
 	return leads
--- a/internal/node/views.go
+++ b/internal/node/views.go
@@ -61,7 +61,7 @@
 // gatherList is how long changes of the lists are gathered after some came:
 // endpoints and processes register in crowds, and each answer of a watch is a
 // call. An endpoint that leaves is left alone two seconds later at the latest.
-const gatherList = 150 * time.Millisecond
+const gatherList = 300 * time.Millisecond
 
 // scoutLook is how often a worker looks whether it is a scout. A scout that is
 // gone is missed by the others at once, as they ask the next one.
