--- a/internal/batchrun/commit.go
+++ b/internal/batchrun/commit.go
@@ -20,8 +20,7 @@
 // way. Positions are given out by one writer at a time.
 func (o *Owner) startWriting(j *ownedJob) {
 	j.mu.Lock()
-	_, results := j.job.Undurable()
-	begin := len(results) > 0 && !j.writing && !j.job.Closed()
+	begin := !j.writing && !j.job.Closed() && j.job.WriteDue(time.Now())
 	j.writing = j.writing || begin
 	j.mu.Unlock()
 	if begin {
@@ -39,10 +38,11 @@
 	for j.ctx.Err() == nil {
 		pause(j.ctx, time.Until(j.written.Add(gatherResults)))
 		j.mu.Lock()
+		due := j.job.WriteDue(time.Now())
 		position, results := j.job.Undurable()
 		results = firstChunk(results)
 		j.mu.Unlock()
-		if len(results) == 0 {
+		if !due {
 			return
 		}
 		j.written = time.Now()
--- a/internal/batchrun/owner.go
+++ b/internal/batchrun/owner.go
@@ -25,8 +25,8 @@
 const (
 	// lookEvery is how often items that wait are looked at without a cause.
 	lookEvery = 25 * time.Millisecond
-	// gatherResults passes at least between two writes of a job's results. A result
-	// that comes alone, as a straggler's does, is written at once; readers poll
+	// gatherResults passes at least between two writes of a job's results. One that
+	// makes its group whole, as a straggler's does, is written at once; readers poll
 	// twice a second, and at this pace a job costs at most four writes a second.
 	gatherResults = 250 * time.Millisecond
 	// marksWait is how long the watch of the marks waits. Who accepts, ends or moves
--- a/internal/cluster/subscribe.go
+++ b/internal/cluster/subscribe.go
@@ -16,7 +16,10 @@
 const (
 	// directSpell is how long news are taken from the store itself once no scout
 	// has fresh ones, before the scouts are asked again.
-	directSpell = 4 * time.Second
+	directSpell = 2500 * time.Millisecond
+	// directGather is how long changes are gathered then: every process of the
+	// system may be asking.
+	directGather = 300 * time.Millisecond
 	// scoutsStart is how long after its own start a process waits for scouts that
 	// have just started as well, asking them every askAgainEvery.
 	scoutsStart   = 2500 * time.Millisecond
@@ -93,7 +96,7 @@
 	defer cancel()
 	var group errgroup.Group
 	for _, topic := range s.Topics {
-		f := &Follower{Store: s.Store, Topic: topic, Failed: s.Failed, Recovered: s.Recovered}
+		f := &Follower{Store: s.Store, Topic: topic, Gather: directGather, Failed: s.Failed, Recovered: s.Recovered}
 		group.Go(func() error { return f.Run(spell) })
 	}
 	_ = group.Wait() // followers end with their context and return no error
--- a/internal/policy/batch/batch_test.go
+++ b/internal/policy/batch/batch_test.go
@@ -51,6 +51,30 @@
 		Expect(results).To(Equal([]batch.Result{{Item: "i0", State: batch.Completed, Output: []byte("e1\ne2\ne3\ne4"), Versions: []int64{3, 4}}}))
 	})
 
+	It("has results written when a group is whole, others after a second", func() {
+		// The load: a step of many groups, whose items end one by one. Each write is
+		// a call to the store; the trainer takes whole groups only.
+		spec := spec(6)
+		spec.WantGroups = 3
+		j := batch.NewJob(spec, nil)
+		finish := func(i int) {
+			begin(j, start)
+			write(j, i, 1, 1, 3)
+			j.Ended(start, i, batch.RunComplete, "e1")
+		}
+		Expect(j.WriteDue(start)).To(BeFalse(), "nothing is there")
+		finish(0)
+		Expect(j.WriteDue(start)).To(BeFalse(), "its group is not whole")
+		Expect(j.WriteDue(start.Add(900 * time.Millisecond))).To(BeFalse())
+		Expect(j.WriteDue(start.Add(time.Second))).To(BeTrue(), "an owner that dies loses no more")
+		j.Durable(1)
+		finish(1)
+		Expect(j.WriteDue(start.Add(time.Second))).To(BeTrue(), "the first group is whole")
+		j.Durable(2)
+		finish(2)
+		Expect(j.WriteDue(start.Add(2*time.Second))).To(BeFalse(), "the wait begins anew")
+	})
+
 	It("takes no event out of order, twice, or of weights that are too old", func() {
 		j := batch.NewJob(spec(1), nil)
 		s := begin(j, start)
--- a/internal/policy/batch/job.go
+++ b/internal/policy/batch/job.go
@@ -45,9 +45,10 @@
 	order  []int // indices of items, the ones to start first in front
 	groups map[string]*group
 
-	decided []Result // results in the order of their positions
-	listed  int      // of them, known to be durable
-	left    int      // items that are not ended
+	decided []Result  // results in the order of their positions
+	listed  int       // of them, known to be durable
+	waiting time.Time // since when some of them wait to be written; zero: none, or not looked at
+	left    int       // items that are not ended
 	closed  bool
 }
 
@@ -310,8 +311,37 @@
 	return j.listed, j.decided[j.listed:]
 }
 
+// partGather is how long results of groups that are not whole wait to be
+// written. A trainer has no use for them yet; written as they came they made
+// half of an owner's writes. An owner that dies loses that much work.
+const partGather = time.Second
+
+// WriteDue tells whether the undurable results should be written now: one of
+// them makes its group whole, or the oldest has waited long enough.
+func (j *Job) WriteDue(now time.Time) bool {
+	_, results := j.Undurable()
+	if len(results) == 0 {
+		return false
+	}
+	if j.Spec.WantGroups <= 0 || j.left == 0 {
+		return true
+	}
+	if j.waiting.IsZero() {
+		j.waiting = now
+	}
+	if now.Sub(j.waiting) >= partGather {
+		return true
+	}
+	return slices.ContainsFunc(results, func(r Result) bool {
+		return j.groups[j.Spec.Items[j.byID[r.Item]].Group].left == 0
+	})
+}
+
 // Durable notes that the first n results are durable; readers may see them.
-func (j *Job) Durable(n int) { j.listed = max(j.listed, n) }
+func (j *Job) Durable(n int) {
+	j.listed = max(j.listed, n)
+	j.waiting = time.Time{}
+}
 
 // Readable returns the durable results from a position on.
 func (j *Job) Readable(from int) []Result {
