List everything at a start beside others

Change: a process that finds others registered lists the other topics too.

The spec fails without the change.

--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -175,6 +175,7 @@
 	var v *view
 	var mu sync.Mutex
 	var sources []string
+	var topic *cluster.Topic
 
 	subscribe := func(own kv.Shared, workers ...*worker) {
 		registrar := cluster.NewRegistrar(store, cluster.Member{Name: "self"}, time.Hour, members, silent())
@@ -186,7 +187,7 @@
 		}
 		Eventually(func() int { return len(members.Live()) }).WithTimeout(patience).Should(Equal(len(workers)))
 		s := &cluster.Subscriber{
-			Store: own, Topics: []*cluster.Topic{v.topic("p/")}, Members: members, Peers: rpcpool.New(nil), Self: cluster.Member{Name: "self"},
+			Store: own, Topics: []*cluster.Topic{topic}, Members: members, Peers: rpcpool.New(nil), Self: cluster.Member{Name: "self"},
 			Source: func(name string, _ error) {
 				mu.Lock()
 				defer mu.Unlock()
@@ -198,6 +199,7 @@
 
 	BeforeEach(func() {
 		store, members, v, sources = standin.NewShared(), cluster.NewMembers(), &view{}, nil
+		topic = v.topic("p/")
 		put(store, "p/a", "1")
 	})
 
@@ -214,6 +216,27 @@
 		Expect(own.count()).To(Equal(before))
 	})
 
+	It("come from the store at once when a process starts beside scouts that are as dead", func() {
+		// What the caller sees: all processes were killed and start again. Scouts are
+		// still registered and do not answer yet; an entry that waited for them refused
+		// callers for half a second longer.
+		w := newWorker(store, 1)
+		w.stop()
+		topic = v.topic("p/")
+		tell, asked := topic.Changed, -1
+		topic.Changed = func(r kv.Record) {
+			mu.Lock()
+			asked = len(sources)
+			mu.Unlock()
+			tell(r)
+		}
+		subscribe(store, w)
+		Eventually(v.now).WithTimeout(patience).Should(HaveKey("p/a"))
+		mu.Lock()
+		defer mu.Unlock()
+		Expect(asked).To(BeZero(), "sources that failed before")
+	})
+
 	It("come from the store while the only worker is cut off from it", func() {
 		// The worker still answers, but has not heard from the store for seconds. What
 		// it knows may be an old declaration, which the entry must not stay with.
--- a/internal/cluster/subscribe.go
+++ b/internal/cluster/subscribe.go
@@ -50,7 +50,7 @@
 
 // Run keeps the topics up to date until ctx ends.
 func (s *Subscriber) Run(ctx context.Context) error {
-	s.listMembers(ctx)
+	s.start(ctx)
 	began := time.Now()
 	for ctx.Err() == nil {
 		s.fromScouts(ctx)
@@ -59,7 +59,7 @@
 		case !s.Known && time.Since(began) < scoutsStart:
 			// The scouts have just started as well and may not be registered yet.
 			sleep(ctx, askAgainEvery)
-			s.listMembers(ctx)
+			s.list(ctx, func(t *Topic) bool { return t.Prefix == prefixLive })
 		default:
 			s.direct(ctx)
 		}
@@ -67,25 +67,40 @@
 	return nil
 }
 
-// listMembers lists the members from the store, unless everything is known: a
-// scout has the rest. To follow the store at the start would cost each process a
-// call for every endpoint that registers itself, in the seconds in which all of
-// them do.
-func (s *Subscriber) listMembers(ctx context.Context) {
+// start lists the members, and everything else if others are registered: callers
+// may be waiting then, and a scout that is listed may be as dead as this process
+// was until now. When the whole system starts there is nobody yet; what scouts
+// will have in a moment is not listed by every process.
+func (s *Subscriber) start(ctx context.Context) {
 	if s.Known {
 		return
 	}
+	s.list(ctx, func(t *Topic) bool { return t.Prefix == prefixLive })
+	for _, m := range s.Members.Live() {
+		if m.Name != s.Self.Name {
+			s.list(ctx, func(t *Topic) bool { return t.Prefix != prefixLive })
+			return
+		}
+	}
+}
+
+// list lists some of the topics from the store.
+func (s *Subscriber) list(ctx context.Context, which func(*Topic) bool) {
+	var group errgroup.Group
 	for _, topic := range s.Topics {
-		if topic.Prefix != prefixLive {
+		if !which(topic) {
 			continue
 		}
-		page, err := kv.ReadAll(ctx, s.Store, topic.Prefix)
-		switch {
-		case err == nil:
-			topic.listing(page)
-		case s.Failed != nil && ctx.Err() == nil:
-			s.Failed(err)
-		}
+		group.Go(func() error {
+			page, err := kv.ReadAll(ctx, s.Store, topic.Prefix)
+			if err == nil {
+				topic.listing(page)
+			}
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil && s.Failed != nil && ctx.Err() == nil {
+		s.Failed(err)
 	}
 }
 
