--- a/internal/batchrun/desk.go
+++ b/internal/batchrun/desk.go
@@ -12,7 +12,6 @@
 	"siskinloom.example/siskinloom/internal/events"
 	"siskinloom.example/siskinloom/internal/kv"
 	"siskinloom.example/siskinloom/internal/policy/batch"
-	"siskinloom.example/siskinloom/internal/policy/rendezvous"
 	"siskinloom.example/siskinloom/internal/rpcpool"
 )
 
@@ -76,7 +75,7 @@
 	if len(owners) == 0 {
 		return false, errors.Wrap(kv.ErrUnavailable, "no process to own it")
 	}
-	owner := ownerFor(affinity(spec.Model, spec.ID), owners)
+	owner := ownersFor(d.Models).of(affinity(spec.Model, spec.ID), owners)
 	record := jobRecord{Owner: owner, Model: spec.Model, Submitted: spec.Submitted, Total: len(spec.Items), Parts: len(parts)}
 	t, err := acceptance(spec.ID, record, parts)
 	if err != nil {
@@ -112,25 +111,6 @@
 	return t, nil
 }
 
-// affinity names what shares an owner: the jobs of one model compete for the
-// same engines, and one owner knows which of their slots are free. With an owner
-// for each job, engines turned away a third of the runs sent to them.
-func affinity(model, id string) string {
-	if model != "" {
-		return model
-	}
-	return id
-}
-
-// ownerFor chooses the owner of what has a key.
-func ownerFor(id string, owners []cluster.Member) string {
-	keys := make([]uint64, len(owners))
-	for i, o := range owners {
-		keys[i] = rendezvous.Key(o.Name)
-	}
-	return owners[rendezvous.Ranked(rendezvous.Key(id), keys, 1)[0]].Name
-}
-
 // write repeats a conditional write until its outcome is known. Once a try may
 // have taken effect, a later refusal no longer means "not run".
 func (d *Desk) write(ctx context.Context, try func() (bool, error)) error {
--- a/internal/batchrun/moving.go
+++ b/internal/batchrun/moving.go
@@ -35,6 +35,8 @@
 	Log     *logrus.Logger
 	// Unsettled tells whether the store was away until a moment ago.
 	Unsettled func() bool
+	// Models returns the models whose jobs there are; may be nil.
+	Models func() []string
 	// Answers tells whether a process answers calls; nil: not known.
 	Answers func(ctx context.Context, name string) bool
 	// Tell tells the new owner of its mark; may be nil.
@@ -150,7 +152,7 @@
 	if len(owners) == 0 {
 		return "", false
 	}
-	return ownerFor(key, owners), true
+	return ownersFor(m.Models).of(key, owners), true
 }
 
 // handover returns the transaction that gives a job to another owner, under the
--- a/internal/batchrun/reading.go
+++ b/internal/batchrun/reading.go
@@ -105,7 +105,7 @@
 	}
 	var names []string
 	for _, model := range d.Models() {
-		if name := ownerFor(model, owners); !slices.Contains(names, name) {
+		if name := ownersFor(d.Models).of(model, owners); !slices.Contains(names, name) {
 			names = append(names, name)
 		}
 	}
--- a/internal/batchrun/rehome.go
+++ b/internal/batchrun/rehome.go
@@ -98,7 +98,7 @@
 func (d *Desk) answering(ctx context.Context, key string) (string, bool) {
 	owners := d.trusted(d.Members.Owners())
 	for range owners {
-		name := ownerFor(key, owners)
+		name := ownersFor(d.Models).of(key, owners)
 		if d.Answers(ctx, name) {
 			return name, true
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -142,7 +142,7 @@
 	n.owner = &batchrun.Owner{Name: s.ID, Store: a.Store, Directory: n.directory, Sender: a.Sender, Log: log, Keep: s.KeepResults, Registry: registry, Lost: n.storeFailed, Back: n.storeBack}
 	n.owner.Init()
 	n.desk = &batchrun.Desk{Store: a.Store, Members: n.members, Peers: peers, Local: n.owner, Log: log, ValueBytes: s.ValueBytes, Models: n.directory.Models}
-	n.mover = &batchrun.Mover{Self: s.ID, Store: a.Store, Members: n.members, Log: log, Unsettled: n.trouble.recent, Answers: n.desk.Answers, Tell: n.desk.TellMoved}
+	n.mover = &batchrun.Mover{Self: s.ID, Store: a.Store, Members: n.members, Log: log, Unsettled: n.trouble.recent, Answers: n.desk.Answers, Models: n.directory.Models, Tell: n.desk.TellMoved}
 	n.gate = gate.New(n.directory, a.Sender, log, registry)
 	n.owner.Certain = n.registrar.Certain
 	n.owner.Spared = n.spared
