Log requests that are refused at the door; take out what nothing read

Cause: a malformed request, one that no route allows and one that comes before a declaration is known left no line (event 2007 was never logged), so its id led nowhere. Planner.Forget, attempt.endpoint and Spec.Prefix were read by nobody.

Change: gate.Malformed and gate.Turned write 2007 and 2001, the latter with the version of the declaration that decided.

No change of decisions.

--- a/internal/batchrun/batchrun_test.go
+++ b/internal/batchrun/batchrun_test.go
@@ -18,7 +18,7 @@
 
 func spec(id string, items int) *batch.Spec {
 	now := time.Now()
-	s := &batch.Spec{ID: id, Host: "h", Prefix: "/items/", Model: "m", MinVersion: 5, MaxAttempts: 3, Submitted: now, Due: now.Add(time.Minute), Expires: now.Add(time.Hour)}
+	s := &batch.Spec{ID: id, Host: "h", Model: "m", MinVersion: 5, MaxAttempts: 3, Submitted: now, Due: now.Add(time.Minute), Expires: now.Add(time.Hour)}
 	for i := range items {
 		item := fmt.Sprintf("i%d", i)
 		s.Items = append(s.Items, batch.Item{ID: item, Path: "/items/x", Body: bytes.Repeat([]byte{byte(i)}, 40), Group: "g",
--- a/internal/gate/course.go
+++ b/internal/gate/course.go
@@ -21,11 +21,10 @@
 
 // attempt is one send to one endpoint and what came of it.
 type attempt struct {
-	endpoint string
-	outcome  Outcome // with whole
-	whole    bool
-	notRun   bool
-	err      error
+	outcome Outcome // with whole
+	whole   bool
+	notRun  bool
+	err     error
 }
 
 // course is a request on its way through attempts.
@@ -142,7 +141,6 @@
 func (g *Gate) attempt(ctx context.Context, pick *directory.Pick, r *Request, left time.Duration) attempt {
 	began := time.Now()
 	a, how := g.exchange(ctx, pick, r, left)
-	a.endpoint = pick.ID
 	pick.End(time.Now(), how, time.Since(began), 1)
 	if !a.whole && how != endpoints.Dropped {
 		g.noteFailure(r.ID, pick, a.err, a.notRun)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -194,6 +194,23 @@
 	})
 }
 
+// Malformed logs a request that is answered as malformed, or as larger than the
+// operator allows.
+func (g *Gate) Malformed(id string, status int, why string) {
+	events.RequestBad.Log(g.log, logrus.Fields{"request": id, "status": status, "error": why})
+}
+
+// Turned logs a request that ends before it has a route: End is NoRoute or
+// NotReady.
+func (g *Gate) Turned(id, host, path string, end End) {
+	g.ends[end].Inc(1)
+	version := int64(0)
+	if table := g.directory.Table(); table != nil {
+		version = table.Declaration.Version
+	}
+	events.RequestRefused.Log(g.log, logrus.Fields{"request": id, "host": host, "path": path, "end": endNames[end], "declaration": version})
+}
+
 // refusal returns the outcome of a request that certainly did not run.
 func (g *Gate) refusal(service string) Outcome {
 	wait := firstReturn + rand.N(returnSpread)
--- a/internal/policy/batch/spec.go
+++ b/internal/policy/batch/spec.go
@@ -14,7 +14,6 @@
 type Spec struct {
 	ID            string
 	Host          string // of the route that it came by
-	Prefix        string // of that route
 	Step          int64
 	Model         string
 	MinVersion    int64 // oldest weight version that may generate a token
--- a/internal/policy/modelplan/modelplan.go
+++ b/internal/policy/modelplan/modelplan.go
@@ -335,6 +335,3 @@
 		w.again = now.Add(retryPause)
 	}
 }
-
-// Forget drops what is known of orders, as another process may have given some.
-func (p *Planner) Forget() { p.pending = map[string]*pending{} }
