--- a/internal/batchrun/desk.go
+++ b/internal/batchrun/desk.go
@@ -17,8 +17,11 @@
 
 const (
 	// writeTries bounds how often a submission or an end whose outcome is unknown
-	// is written again; each is idempotent by its condition.
-	writeTries = 3
+	// is written again; each is idempotent by its condition. A submitter leaves
+	// after little more than a second.
+	writeTries = 10
+	// writeAgain is the pause before it is.
+	writeAgain = 50 * time.Millisecond
 	// knownJobs bounds what is remembered of jobs that other processes own.
 	knownJobs = 64
 	// storePoll is the pause between two looks into the store for new results
@@ -126,7 +129,7 @@
 		if !unknown || ctx.Err() != nil {
 			break
 		}
-		pause(ctx, retryWrite)
+		pause(ctx, writeAgain)
 	}
 	if unknown {
 		return errors.Wrap(ErrOutcomeUnknown, last.Error())
--- a/internal/cluster/members.go
+++ b/internal/cluster/members.go
@@ -266,7 +266,7 @@
 	if err == nil {
 		r.prove(began)
 	}
-	return renew // an unanswered renewal is repeated in time for the next
+	return max(0, renew-time.Since(began)) // one that took long must not put off the next
 }
 
 func (r *Registrar) prove(at time.Time) {
--- /dev/null
+++ b/internal/policy/storepath/patience_test.go
@@ -0,0 +1,42 @@
+package storepath_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"siskinloom.example/siskinloom/internal/policy/storepath"
+)
+
+var _ = Describe("patience with the store's answers", func() {
+	It("is long before the first answer, short with a healthy store, long with a slow one", func() {
+		// The load: a store that answers in 4 ms, then in 240 ms for some seconds, then
+		// in 4 ms again.
+		var p storepath.Patience
+		Expect(p.Limit()).To(Equal(300 * time.Millisecond))
+		for range 20 {
+			p.Answered(4 * time.Millisecond)
+		}
+		Expect(p.Limit()).To(Equal(80 * time.Millisecond))
+		p.Answered(240 * time.Millisecond)
+		Expect(p.Limit()).To(BeNumerically(">", 240*time.Millisecond), "one answer is enough to wait for the next")
+		for range 10 {
+			p.Answered(240 * time.Millisecond)
+			Expect(p.Limit()).To(BeNumerically(">=", 240*time.Millisecond))
+		}
+		for range 40 {
+			p.Answered(4 * time.Millisecond)
+		}
+		Expect(p.Limit()).To(Equal(80 * time.Millisecond))
+	})
+
+	It("leaves a submitter eight tries while every second answer is lost", func() {
+		const submitterWaits, pause = 1200 * time.Millisecond, 50 * time.Millisecond
+		var p storepath.Patience
+		for range 20 {
+			p.Answered(4 * time.Millisecond)
+		}
+		Expect(int(submitterWaits / (p.Limit() + pause))).To(BeNumerically(">=", 8))
+	})
+})
--- a/internal/storepath/others.go
+++ b/internal/storepath/others.go
@@ -39,34 +39,34 @@
 // Unwrap returns what it means for the call.
 func (e *failsOthersError) Unwrap() error { return kv.ErrUnavailable }
 
-// askOthers makes the call by way of another process: the one that helped last,
-// or the first that shows itself able to. began is when the call first went
-// out.
+// askOthers makes the call by way of another process: the first that has an
+// answer of the store, or for a call that must not be made twice the one that
+// helped last. began is when the call first went out.
 func (s *Store) askOthers(ctx context.Context, q *Query, began time.Time) outcome {
-	if helper, found := s.standingHelper(); found {
-		o := s.askOne(ctx, helper, q)
-		if answered(o.err) {
-			s.othersServed(helper, began)
-			return o
-		}
-		s.forgetHelper(helper)
-		if ctx.Err() != nil || errors.Is(o.err, kv.ErrUnknown) && !q.repeatable() {
-			return o
+	if q.repeatable() {
+		helper, o := s.race(ctx, q)
+		if !answered(o.err) {
+			return outcome{err: errors.Wrap(kv.ErrUnavailable, o.err.Error())}
 		}
+		s.othersServed(helper, began)
+		return o
 	}
-	probe := q
-	if !q.repeatable() {
-		probe = &Query{Operation: Read, Key: lookKey}
-	}
-	helper, o := s.race(ctx, probe)
-	if !answered(o.err) {
-		return outcome{err: errors.Wrap(kv.ErrUnavailable, o.err.Error())}
+	helper, found := s.standingHelper()
+	if !found {
+		var o outcome
+		if helper, o = s.race(ctx, &Query{Operation: Read, Key: lookKey}); !answered(o.err) {
+			return outcome{err: errors.Wrap(kv.ErrUnavailable, o.err.Error())}
+		}
 	}
-	s.othersServed(helper, began)
-	if q.repeatable() {
-		return o
+	ctx, cancel := context.WithTimeout(ctx, s.limit()+askNextAfter)
+	defer cancel()
+	o := s.askOne(ctx, helper, q)
+	if answered(o.err) {
+		s.othersServed(helper, began)
+	} else {
+		s.forgetHelper(helper)
 	}
-	return s.askOne(ctx, helper, q)
+	return o
 }
 
 // race asks one process after the other, without waiting long for any, and
@@ -116,21 +116,25 @@
 	return cluster.Member{}, last
 }
 
-// candidates returns the processes to ask: workers, who have processor time to
-// spare, then entries; of each kind those of this failure domain first, as bytes
-// between domains are dearer.
+// candidates returns the processes to ask: the one that helped last, then
+// workers, who have processor time to spare, then entries; of each kind those of
+// this failure domain first, as bytes between domains are dearer.
 func (s *Store) candidates() []cluster.Member {
-	var workers, entries []cluster.Member
+	var workers, entries, first []cluster.Member
+	helper, helped := s.standingHelper()
+	if helped {
+		first = append(first, helper)
+	}
 	for _, m := range s.members.Live() {
 		switch {
-		case m.Leaving || m.Name == s.self.Name:
+		case m.Leaving, m.Name == s.self.Name, helped && m.Name == helper.Name:
 		case m.Worker:
 			workers = append(workers, m)
 		default:
 			entries = append(entries, m)
 		}
 	}
-	return append(s.nearest(workers), s.nearest(entries)...)
+	return append(append(first, s.nearest(workers)...), s.nearest(entries)...)
 }
 
 func (s *Store) nearest(of []cluster.Member) []cluster.Member {
--- a/internal/storepath/store.go
+++ b/internal/storepath/store.go
@@ -19,11 +19,8 @@
 )
 
 const (
-	// patience is how long an answer may stay out before another process is asked
-	// whether it reaches the store. It lies above the 240 ms of a store that is
-	// slowed sixtyfold; with the third of a lease's time between renewals it leaves
-	// time to renew it by way of another process before it lapses.
-	patience = 300 * time.Millisecond
+	// lookLimit bounds the wait for an answer that shows whether the own way works.
+	lookLimit = 300 * time.Millisecond
 	// passLimit bounds a call that is passed on: a slow store's answer and the way
 	// to the other process and back.
 	passLimit = 700 * time.Millisecond
@@ -45,6 +42,8 @@
 
 	mu   sync.Mutex
 	path policy.Path
+	// patience is how long an answer may stay out before another process is asked.
+	patience policy.Patience
 	// turned is closed and replaced when calls leave the own way or return to it.
 	turned chan struct{}
 	// helper is the process that last passed a call on, empty if none did lately.
@@ -102,7 +101,8 @@
 		result, err := execute(direct, s.own, q)
 		own <- outcome{result, err}
 	}()
-	timer := time.NewTimer(q.Wait + patience)
+	limit := s.limit()
+	timer := time.NewTimer(q.Wait + limit)
 	defer timer.Stop()
 	for {
 		select {
@@ -111,7 +111,7 @@
 		case <-timer.C:
 			return s.overdue(ctx, q, began, own)
 		case <-s.turns():
-			if time.Since(began) > patience {
+			if time.Since(began) > limit {
 				return s.again(ctx, q)
 			}
 		}
@@ -165,6 +165,9 @@
 // effect is made by way of another process.
 func (s *Store) settle(ctx context.Context, q *Query, began time.Time, o outcome) (Result, error) {
 	if answered(o.err) {
+		if q.Operation != Await {
+			s.timed(time.Since(began))
+		}
 		s.served(began)
 		return o.result, o.err
 	}
@@ -185,7 +188,7 @@
 
 // look tells whether the own way works.
 func (s *Store) look(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, patience)
+	ctx, cancel := context.WithTimeout(ctx, lookLimit)
 	defer cancel()
 	began := time.Now()
 	if _, err := s.own.Read(ctx, lookKey); err != nil {
@@ -195,6 +198,19 @@
 	return true
 }
 
+// limit returns how long an answer may stay out.
+func (s *Store) limit() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.patience.Limit()
+}
+
+func (s *Store) timed(took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.patience.Answered(took)
+}
+
 func (s *Store) away() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/storepath/storepath_test.go
+++ b/internal/storepath/storepath_test.go
@@ -160,6 +160,24 @@
 		Expect(committed.Done).To(BeTrue())
 	})
 
+	It("does not wait for the process that helped last when it falls silent", func() {
+		// What happens: the store loses answers, also those to the process that passes
+		// calls on. A renewal that waited for that one alone took so long that the
+		// lease lapsed, and the owner's jobs were moved.
+		all := newProcesses(ctx, store, "a", "b", "c")
+		lease, _, err := all[0].store.GrantLease(ctx, time.Hour)
+		Expect(err).NotTo(HaveOccurred())
+		all[0].own.silent.Store(true)
+		Expect(all[0].store.KeepLease(ctx, lease)).To(Succeed())
+		for _, helper := range all[1:] {
+			helper.own.silent.Store(true)
+			Expect(all[0].store.KeepLease(ctx, lease)).To(Succeed())
+			helper.own.silent.Store(false)
+		}
+		Expect(all[1].own.calls.Load()).To(BeNumerically(">", 0))
+		Expect(all[2].own.calls.Load()).To(BeNumerically(">", 0))
+	})
+
 	It("moves a waiting watch to another process when the cut is found", func() {
 		// What happens: a watch waits for long when the process is cut off. Another
 		// call finds the cut, and the watch hears a change at once instead of after
