Draw each process to another endpoint among equals

Change: ties go by rendezvous weight of process and endpoint, which also keeps a process with the endpoint it has a connection to.

Ruled out: a random choice (a new connection for each request).

A spec of 27 entries before 6 endpoints.

--- a/internal/batchrun/fakes_test.go
+++ b/internal/batchrun/fakes_test.go
@@ -168,7 +168,7 @@
 func newProcess(name string, shared kv.Shared, sender dispatch.Sender) *process {
 	cutOff := &atomic.Bool{}
 	store := path{shared, cutOff}
-	d := directory.New("", nil)
+	d := directory.New("self", "", nil)
 	d.Declare(&deployment.Declaration{Version: 1, Routes: []deployment.Route{
 		{Name: "items", Host: "h", Prefix: "/items/", Kind: deployment.Rollout, MaxAttempts: 3, Backends: []deployment.Backend{{Service: "llm", Weight: 1}}},
 		{Name: "score", Host: "h", Prefix: "/score/", Kind: deployment.Idempotent, MaxAttempts: 3, Backends: []deployment.Backend{{Service: "app", Weight: 1}}},
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -17,6 +17,7 @@
 
 // Directory is safe for concurrent use.
 type Directory struct {
+	self   string
 	domain string
 	table  atomic.Pointer[routes.Table]
 	gone   func(address string) // an endpoint's address is no longer its own
@@ -31,10 +32,10 @@
 	set *endpoints.Set
 }
 
-// New returns an empty directory of a process in a failure domain. gone is
+// New returns an empty directory of the process self in a failure domain. gone is
 // called with the address of each endpoint that goes; it may be nil.
-func New(domain string, gone func(address string)) *Directory {
-	return &Directory{domain: domain, gone: gone, services: map[string]*shard{}, homes: map[string]string{}}
+func New(self, domain string, gone func(address string)) *Directory {
+	return &Directory{self: self, domain: domain, gone: gone, services: map[string]*shard{}, homes: map[string]string{}}
 }
 
 // Table returns the routes in force, or nil while none are known.
@@ -119,7 +120,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.services[service] == nil {
-		d.services[service] = &shard{set: endpoints.NewSet()}
+		d.services[service] = &shard{set: endpoints.NewSet(d.self)}
 	}
 	return d.services[service]
 }
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -84,7 +84,7 @@
 }
 
 func newGate(s dispatch.Sender, endpoints int) *gate.Gate {
-	d := directory.New("", nil)
+	d := directory.New("self", "", nil)
 	for i := range endpoints {
 		d.Put(deployment.Endpoint{ID: string(rune('a' + i)), Service: "app", Address: "x:1", Slots: 4})
 	}
--- a/internal/modelrun/modelrun_test.go
+++ b/internal/modelrun/modelrun_test.go
@@ -68,7 +68,7 @@
 
 	// lead runs a process that gives orders to one engine at version 1.
 	lead := func() *modelrun.Runner {
-		d := directory.New("", nil)
+		d := directory.New("self", "", nil)
 		d.Declare(&deployment.Declaration{Version: 1,
 			Routes:   []deployment.Route{{Host: "h", Prefix: "/", SingleVersion: single, Backends: []deployment.Backend{{Service: "llm", Weight: 1}}}},
 			Services: map[string]deployment.Service{"llm": {Name: "llm", Models: []string{"m"}}}})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -126,7 +126,7 @@
 // New puts a process together.
 func New(s Settings, a Adapter, log *logrus.Logger, registry metrics.Registry) *Node {
 	n := &Node{settings: s, adapter: a, log: log, registry: registry, members: cluster.NewMembers()}
-	n.directory = directory.New(s.FailureDomain, a.Forget)
+	n.directory = directory.New(s.ID, s.FailureDomain, a.Forget)
 	inner := net.JoinHostPort(s.IP, strconv.Itoa(s.InnerPort))
 	peers := rpcpool.New(netdial.Dial)
 	self := cluster.Member{Name: s.ID, Address: inner, Domain: s.FailureDomain, Worker: s.Worker, Boot: time.Now().UnixNano()}
--- a/internal/policy/endpoints/endpoints.go
+++ b/internal/policy/endpoints/endpoints.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"siskinloom.example/siskinloom/internal/deployment"
+	"siskinloom.example/siskinloom/internal/policy/rendezvous"
 )
 
 const (
@@ -53,11 +54,13 @@
 	probing  bool          // one request tries it after a pause
 	cost     float64       // running mean of seconds per unit of work, waits included; 0: unknown
 	pace     float64       // running mean of seconds per unit of work once begun; 0: unknown
+	draw     uint64        // how strongly this process is drawn to it among equals
 	set      *Set
 }
 
 // Set is the endpoints of one service. It is not safe for concurrent use.
 type Set struct {
+	self uint64 // key of this process
 	byID map[string]*State
 	list []*State // sorted by ID, without those that are gone
 
@@ -65,8 +68,12 @@
 	observed int     // costs observed since then
 }
 
-// NewSet returns an empty set.
-func NewSet() *Set { return &Set{byID: map[string]*State{}} }
+// NewSet returns an empty set of a process. Each process is drawn to other
+// endpoints among equals: with the first in the order of their IDs, as many idle
+// processes as there are in a failure domain all chose the same one.
+func NewSet(self string) *Set {
+	return &Set{self: rendezvous.Key(self), byID: map[string]*State{}}
+}
 
 // Put takes in what the platform lists of an endpoint.
 func (s *Set) Put(e deployment.Endpoint) {
@@ -75,7 +82,7 @@
 		return
 	}
 	s.Remove(e.ID)
-	s.byID[e.ID] = &State{Endpoint: e, set: s}
+	s.byID[e.ID] = &State{Endpoint: e, draw: rendezvous.Weight(s.self, rendezvous.Key(e.ID)), set: s}
 	s.sort()
 }
 
@@ -132,7 +139,7 @@
 			}
 			continue
 		}
-		if score := e.score(&r, slow); best == nil || score < least {
+		if score := e.score(&r, slow); best == nil || score < least || score == least && e.draw > best.draw {
 			best, least = e, score
 		}
 	}
--- a/internal/policy/endpoints/endpoints_test.go
+++ b/internal/policy/endpoints/endpoints_test.go
@@ -14,7 +14,7 @@
 var start = time.Unix(1000, 0)
 
 func set(n int) *endpoints.Set {
-	s := endpoints.NewSet()
+	s := endpoints.NewSet("self")
 	for i := range n {
 		s.Put(deployment.Endpoint{ID: fmt.Sprintf("e%d", i), Address: fmt.Sprintf("10.0.0.%d:1", i), Domain: "a", Slots: 2, Born: 1, Versions: map[string]int64{"m": int64(i)}})
 	}
@@ -99,6 +99,32 @@
 		Expect(until.Sub(now)).To(BeNumerically("<=", 25*time.Millisecond))
 	})
 
+	It("is another one at each idle process, and the same one while it stays idle", func() {
+		// The load: 27 entries, each with a request now and then, before 6 endpoints of
+		// their failure domain. With the first in the order of their IDs all of them
+		// met at one endpoint; when that one turned slow, lookups of all entries were
+		// late. Staying with one keeps its connection in use.
+		const entries, each = 27, 6
+		at := map[string]int{}
+		for i := range entries {
+			s := endpoints.NewSet(fmt.Sprintf("entry-%d", i))
+			for k := range each {
+				s.Put(deployment.Endpoint{ID: fmt.Sprintf("e%d", k), Domain: "a", Slots: 6, Born: 1})
+			}
+			first := ""
+			for range 3 {
+				e := s.Pick(endpoints.Request{Now: start, Domain: "a"})
+				e.End(start, endpoints.Answered, 25*time.Millisecond, 1)
+				Expect(first == "" || first == e.ID).To(BeTrue())
+				first = e.ID
+			}
+			at[first]++
+		}
+		for _, n := range at {
+			Expect(n).To(BeNumerically("<=", 2*entries/each))
+		}
+	})
+
 	It("gives a slow endpoint fewer requests", func() {
 		s := set(3)
 		for range 5 {
