Count what ended requests show of an endpoint's speed

Cause: a request that was ended because a second endpoint had answered left no trace, so an endpoint that turned slow stayed the first choice of a process that was drawn to it, and each lookup paid the hedge's wait.

Change: endpoints.State.End takes the time of a request ended on this side as a lower bound, if it is above what is known.

--- a/internal/policy/endpoints/endpoints.go
+++ b/internal/policy/endpoints/endpoints.go
@@ -254,6 +254,7 @@
 			e.putAside(now)
 		}
 	case Dropped:
+		e.observeAtLeast(took, work)
 	}
 }
 
@@ -299,6 +300,16 @@
 	e.cost += (cost - e.cost) * latencyWeight
 }
 
+// observeAtLeast takes in a request that was ended on this side while it was
+// under way: it would have taken longer. Without it an endpoint that turned slow
+// stayed the first choice, as each request that showed it was ended once a second
+// endpoint had answered.
+func (e *State) observeAtLeast(took time.Duration, work float64) {
+	if work > 0 && took.Seconds()/work > e.cost {
+		e.observe(took, work)
+	}
+}
+
 func (e *State) putAside(now time.Time) {
 	e.failures++
 	if now.Before(e.until) {
--- a/internal/policy/endpoints/endpoints_test.go
+++ b/internal/policy/endpoints/endpoints_test.go
@@ -125,6 +125,23 @@
 		}
 	})
 
+	It("learns that an endpoint is slow from requests that were ended for another's answer", func() {
+		// What the caller sees: lookups late by the time of a hedge, one after the
+		// other. The first endpoint turned slow; each request to it was ended when the
+		// second had answered, and the next one went there again.
+		s := set(2)
+		for range 3 {
+			for _, other := range []string{"e0", "e1"} {
+				s.Pick(endpoints.Request{Now: start, Tried: []string{other}}).End(start, endpoints.Answered, 25*time.Millisecond, 1)
+			}
+		}
+		favourite := s.Pick(endpoints.Request{Now: start}).ID
+		s.Get(favourite).End(start, endpoints.Dropped, 10*time.Millisecond, 1)
+		Expect(s.Pick(endpoints.Request{Now: start}).ID).To(Equal(favourite), "a caller that left early says nothing")
+		s.Get(favourite).End(start, endpoints.Dropped, 150*time.Millisecond, 1)
+		Expect(s.Pick(endpoints.Request{Now: start}).ID).NotTo(Equal(favourite))
+	})
+
 	It("gives a slow endpoint fewer requests", func() {
 		s := set(3)
 		for range 5 {
