Give writes time while the store is slow, and stay with the own way

An owner that restarted at 2.5 s took its job on at 4.89 s; its step was whole after 10 s.

Change: storepath.Patience knows a slow store by its last answers, others' included: a write then has 700 ms, and others' answers say nothing of the own way.

The spec fails without it.

--- a/internal/policy/storepath/patience.go
+++ b/internal/policy/storepath/patience.go
@@ -16,6 +16,13 @@
 	meanWeight   = 1.0 / 8
 	spreadWeight = 1.0 / 4
 	spreads      = 4
+	// slowAnswer marks a store that is slow and not lost: fifteen times its usual
+	// 4 ms.
+	slowAnswer = 60 * time.Millisecond
+	// slowWrite is how long a write may go unanswered while the store is slow. Its
+	// answers then vary by hundreds of milliseconds, and a write that is given up
+	// early is made again and costs more slow calls.
+	slowWrite = 700 * time.Millisecond
 )
 
 // Patience is how long an answer of the store may stay out before it is taken
@@ -23,10 +30,12 @@
 // 1.2 s got two tries when each waited 300 ms; it gets eight.
 type Patience struct {
 	mean, spread time.Duration // 0: no answer yet
+	last         time.Duration
 }
 
 // Answered takes in how long an answer took.
 func (p *Patience) Answered(took time.Duration) {
+	p.last = took
 	if p.mean == 0 {
 		p.mean, p.spread = took, took/2
 		return
@@ -43,3 +52,16 @@
 	}
 	return min(max(p.mean+spreads*p.spread, leastPatience), mostPatience)
 }
+
+// Slow tells whether the store answers late, so that an answer that stays out is
+// no sign of a lost one.
+func (p *Patience) Slow() bool { return max(p.mean, p.last) > slowAnswer }
+
+// WriteLimit returns how long a write may go unanswered although another process
+// has reached the store.
+func (p *Patience) WriteLimit() time.Duration {
+	if p.Slow() {
+		return slowWrite
+	}
+	return p.Limit()
+}
--- a/internal/policy/storepath/patience_test.go
+++ b/internal/policy/storepath/patience_test.go
@@ -39,4 +39,23 @@
 		}
 		Expect(int(submitterWaits / (p.Limit() + pause))).To(BeNumerically(">=", 8))
 	})
+
+	It("gives a write time while the store is slow, and little while answers are lost", func() {
+		// What the submitter sees: a store that takes 100 to 500 ms for a while. Each
+		// write given up after the usual time was made again, and a restarted owner took
+		// 2.4 s to take its jobs on.
+		var p storepath.Patience
+		for range 20 {
+			p.Answered(4 * time.Millisecond)
+		}
+		Expect(p.Slow()).To(BeFalse())
+		Expect(p.WriteLimit()).To(Equal(80*time.Millisecond), "an answer that stays out is lost")
+		p.Answered(240 * time.Millisecond)
+		Expect(p.Slow()).To(BeTrue())
+		Expect(p.WriteLimit()).To(Equal(700 * time.Millisecond))
+		for range 60 {
+			p.Answered(4 * time.Millisecond)
+		}
+		Expect(p.Slow()).To(BeFalse())
+	})
 })
--- a/internal/storepath/others.go
+++ b/internal/storepath/others.go
@@ -156,6 +156,7 @@
 	defer cancel()
 	s.byOthers.Inc(1)
 	var reply Reply
+	began := time.Now()
 	err := s.peers.Call(ctx, m.Address, callDo, *q, &reply)
 	var dial *rpcpool.DialError
 	switch {
@@ -168,6 +169,9 @@
 	case reply.Code != Served:
 		return outcome{err: errors.Wrapf(codeErrors[reply.Code], "by way of %s: %s", m.Name, reply.Text)}
 	}
+	if q.Operation != Await {
+		s.timed(time.Since(began))
+	}
 	return outcome{result: reply.Result}
 }
 
@@ -189,9 +193,11 @@
 	}
 }
 
+// othersServed notes that another process reached the store. While the store is
+// slow that says nothing of the own way, whose answer is as late.
 func (s *Store) othersServed(m cluster.Member, began time.Time) {
 	s.mu.Lock()
-	left := s.path.OthersServed(time.Now(), began)
+	left := !s.patience.Slow() && s.path.OthersServed(time.Now(), began)
 	s.helper = m.Name
 	if left {
 		s.turn()
--- a/internal/storepath/store.go
+++ b/internal/storepath/store.go
@@ -123,6 +123,7 @@
 // cut, and the outcome is unknown if it is.
 func (s *Store) overdue(ctx context.Context, q *Query, began time.Time, own <-chan outcome) (Result, error) {
 	turned := s.turns()
+	var giveUp <-chan time.Time // of a write, once another process reached the store
 	others := make(chan outcome, 1)
 	if s.mayAsk() {
 		asked := q
@@ -142,6 +143,8 @@
 			case q.repeatable():
 				return o.result, o.err
 			}
+			giveUp = time.After(time.Until(began.Add(s.writeLimit())))
+		case <-giveUp:
 			return Result{}, errAdrift
 		case <-turned: // another call found the way that works
 			return s.again(ctx, q)
@@ -205,6 +208,12 @@
 	return s.patience.Limit()
 }
 
+func (s *Store) writeLimit() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.patience.WriteLimit()
+}
+
 func (s *Store) timed(took time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
