Keep an ended job's results although its writer pauses

Trainers end a job as its last group is whole, right after a write.

Change: only a write that is out, or whose outcome is unknown, keeps the owner from answering; one that ends well after the job keeps it then.

The spec of reads fails without the change.

--- a/internal/batchrun/batchrun_test.go
+++ b/internal/batchrun/batchrun_test.go
@@ -299,6 +299,44 @@
 		Expect(err).To(MatchError(batchrun.ErrNoJob))
 	})
 
+	It("is read without the store when it ended right after its last write", func() {
+		// The load: trainers end a job as soon as their last group is whole, and other
+		// readers come for seconds. The owner took its own pause between two writes for
+		// a write under way and kept nothing, so each of them read the store.
+		Expect(a.desk.Submit(context.Background(), spec("j", 3))).To(Succeed())
+		owner, other := owned("j")
+		Eventually(results(other, "j")).WithTimeout(patience).Should(Equal(3))
+		Expect(other.desk.End(context.Background(), "j")).To(Succeed())
+		Eventually(owner.owner.Jobs).WithTimeout(patience).ShouldNot(HaveKey("j"))
+		reader := newProcess("r", store, llm)
+		reader.desk.Members = other.members
+		reader.desk.Models = func() []string { return []string{"m"} }
+		Eventually(func() int {
+			before := store.Count("read") + store.Count("page")
+			Expect(results(reader, "j")()).To(Equal(3))
+			return store.Count("read") + store.Count("page") - before
+		}).WithTimeout(patience).Should(BeZero())
+	})
+
+	It("is read from the store when it ended with a write of unknown outcome", func() {
+		// What happens: the answer to a write of results is lost, and the job ends before
+		// the write is settled. Others may have read what it held; the owner must not
+		// answer readers with less.
+		llm.hold = make(chan struct{})
+		Expect(a.desk.Submit(context.Background(), spec("j", 1))).To(Succeed())
+		owner, other := owned("j")
+		store.LoseAnswers(1)
+		close(llm.hold)
+		Eventually(func() int64 {
+			record, err := store.Read(context.Background(), "done/j/000000")
+			Expect(err).NotTo(HaveOccurred())
+			return record.Revision
+		}).WithTimeout(patience).ShouldNot(BeZero())
+		Expect(other.desk.End(context.Background(), "j")).To(Succeed())
+		Eventually(owner.owner.Jobs).WithTimeout(patience).ShouldNot(HaveKey("j"))
+		Expect(results(other, "j")()).To(Equal(1))
+	})
+
 	It("is ended although its owner's word is out of date", func() {
 		// What happens: the owner was cut off and lost the job, which it does not know.
 		// Its word names a mark that is gone; the end must not be taken for done.
--- a/internal/batchrun/commit.go
+++ b/internal/batchrun/commit.go
@@ -42,7 +42,7 @@
 		position, results := j.job.Undurable()
 		results = firstChunk(results)
 		j.mu.Unlock()
-		if !due {
+		if !due || !j.send() {
 			return
 		}
 		j.written = time.Now()
@@ -51,6 +51,9 @@
 			o.durable(j, position, results[:written])
 			continue
 		}
+		if errors.Is(err, kv.ErrUnavailable) {
+			j.unsend()
+		}
 		events.ResultsDelayed.Log(o.Log, logrus.Fields{"job": j.id, "position": position, "results": len(results), "error": err.Error()})
 		if errors.Is(err, errNotOwner) {
 			o.drop(j.id, j.mark)
@@ -61,6 +64,25 @@
 	}
 }
 
+// send notes that a write goes out, unless the job has ended.
+func (j *ownedJob) send() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.sent = !j.job.Closed()
+	return j.sent
+}
+
+// unsend notes that a write certainly had no effect. After any other failure what
+// it held may yet become durable, and a job that ended meanwhile is read from the
+// store.
+func (j *ownedJob) unsend() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if !j.job.Closed() {
+		j.sent = false
+	}
+}
+
 func firstChunk(results []batch.Result) []batch.Result {
 	size := 0
 	for i := range results {
@@ -126,7 +148,15 @@
 	close(j.readers)
 	j.readers = make(chan struct{})
 	finished := j.job.Finished()
+	j.sent = false
+	var kept *keptResults
+	if j.job.Closed() { // it ended while they were written
+		kept = j.kept()
+	}
 	j.mu.Unlock()
+	if kept != nil {
+		o.keep(kept)
+	}
 	for i := range results {
 		o.noteListed(j, position+i, &results[i])
 	}
--- a/internal/batchrun/owner.go
+++ b/internal/batchrun/owner.go
@@ -92,6 +92,7 @@
 	job     *batch.Job
 	readers chan struct{} // closed and replaced when results become durable
 	writing bool
+	sent    bool      // a write is under way at the store, or its outcome is not known
 	written time.Time // of the last write; only its writer uses it
 }
 
@@ -316,11 +317,22 @@
 	close(j.readers)
 	j.readers = make(chan struct{})
 	o.left.Keep(now, j.job)
-	if !j.writing {
-		o.ended.keep(now, keptResults{id: j.id, submitted: j.job.Spec.Submitted, total: j.job.Total(), results: slices.Clone(j.job.Readable(0))})
+	if !j.sent {
+		o.ended.keep(now, *j.kept())
 	}
 }
 
+// kept returns the durable results of a job that has ended; mu is held.
+func (j *ownedJob) kept() *keptResults {
+	return &keptResults{id: j.id, submitted: j.job.Spec.Submitted, total: j.job.Total(), results: slices.Clone(j.job.Readable(0))}
+}
+
+func (o *Owner) keep(results *keptResults) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.ended.keep(time.Now(), *results)
+}
+
 func (o *Owner) find(id string) *ownedJob {
 	o.mu.Lock()
 	defer o.mu.Unlock()
