Tell the owner of a model's jobs which engines load it

Cause: an engine that loads weights refuses new items of that model for about a second; the owner found that out by asking.

Change: who gives an order tells the model's owner; endpoints.State leaves the engine alone for that model until the list names the version, or for a second.

Ruled out: shorter gathering of the list's changes (it says what an engine has, not what it loads).

--- a/internal/batchrun/desk.go
+++ b/internal/batchrun/desk.go
@@ -236,6 +236,25 @@
 	d.tellOwner(owner, callMarked, MarkArgs{Job: job, Revision: revision, Begun: true})
 }
 
+// TellLoading tells the owner of a model's jobs that an endpoint was ordered to
+// load weights of it. A word that is lost costs a few refusals.
+func (d *Desk) TellLoading(args LoadingArgs) {
+	members := d.Members.Owners()
+	if len(members) == 0 {
+		return
+	}
+	owner := ownersFor(d.Models).of(args.Model, members)
+	if owner == d.Local.Name {
+		d.Local.loading(args)
+		return
+	}
+	go func() {
+		if err := d.call(context.Background(), owner, callLoading, 0, args, &struct{}{}); err != nil {
+			events.OwnerNotTold.Log(d.Log, logrus.Fields{"endpoint": args.Endpoint, "owner": owner, "model": args.Model, "error": err.Error()})
+		}
+	}()
+}
+
 // tellOwner tells an owner what its watch will tell it as well, only later.
 func (d *Desk) tellOwner(owner, method string, args MarkArgs) {
 	go func() { _ = d.tell(owner, method, args) }()
--- a/internal/batchrun/rpc.go
+++ b/internal/batchrun/rpc.go
@@ -16,6 +16,7 @@
 	callEnded   = serviceName + ".Ended"
 	callPing    = serviceName + ".Ping"
 	callStands  = serviceName + ".Standing"
+	callLoading = serviceName + ".Loading"
 )
 
 // callSlack is how much longer than its own wait a call to an owner may take.
@@ -89,6 +90,23 @@
 	return nil
 }
 
+// LoadingArgs tells an owner that an endpoint was ordered to load weights.
+type LoadingArgs struct {
+	Endpoint string
+	Model    string
+	Version  int64
+}
+
+// Loading implements the call of that name.
+func (s *Service) Loading(args LoadingArgs, _ *struct{}) error {
+	s.owner.loading(args)
+	return nil
+}
+
+func (o *Owner) loading(args LoadingArgs) {
+	o.Directory.Loading(time.Now(), args.Endpoint, args.Model, args.Version)
+}
+
 // Ping implements the call of that name: this process answers.
 func (s *Service) Ping(struct{}, *struct{}) error { return nil }
 
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -96,6 +96,19 @@
 	}
 }
 
+// Loading notes that an endpoint was ordered to load weights.
+func (d *Directory) Loading(now time.Time, id, model string, version int64) {
+	d.mu.RLock()
+	home := d.homes[id]
+	d.mu.RUnlock()
+	s := d.shard(home)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e := s.set.Get(id); e != nil {
+		e.Loading(now, model, version)
+	}
+}
+
 func (d *Directory) drop(service, id string) {
 	s := d.shard(service)
 	s.mu.Lock()
--- a/internal/modelrun/modelrun.go
+++ b/internal/modelrun/modelrun.go
@@ -62,8 +62,11 @@
 	Directory *directory.Directory
 	Leader    *cluster.Leader
 	Commander Commander
-	Log       *logrus.Logger
-	Registry  metrics.Registry
+	// Loading is called when an engine was sent an order that it may carry out; may
+	// be nil.
+	Loading  func(endpoint, model string, version int64)
+	Log      *logrus.Logger
+	Registry metrics.Registry
 
 	mu       sync.Mutex
 	named    map[string]int64
@@ -194,6 +197,9 @@
 	if err == nil {
 		verdict, err = r.Commander.Order(ctx, e, Order{Model: o.Model, Version: o.Version, Finish: r.wantsOneVersion(service), Holder: r.Self, Term: term, Expected: expected})
 	}
+	if r.Loading != nil && (err != nil || verdict == Accepted) {
+		r.Loading(e.ID, o.Model, o.Version)
+	}
 	result := r.weigh(key, expected, verdict, err)
 	r.note(e, o, term, expected, verdict, err)
 	if err == nil && verdict == Outdated {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -153,7 +153,10 @@
 		n.relay = cluster.NewRelay(self.Boot)
 		n.leader = cluster.NewLeader(a.Store, cluster.DutyKey+dutyWeights, s.ID, s.LeaseTTL, s.MinTTL, n.isScout, n.leads)
 		n.registrar.DutyGone = func(string) { n.leader.Vacant() }
-		n.models = &modelrun.Runner{Self: s.ID, Directory: n.directory, Leader: n.leader, Commander: a.Commander, Log: log, Registry: registry}
+		loading := func(endpoint, model string, version int64) {
+			n.desk.TellLoading(batchrun.LoadingArgs{Endpoint: endpoint, Model: model, Version: version})
+		}
+		n.models = &modelrun.Runner{Loading: loading, Self: s.ID, Directory: n.directory, Leader: n.leader, Commander: a.Commander, Log: log, Registry: registry}
 	}
 	return n
 }
--- a/internal/policy/endpoints/endpoints.go
+++ b/internal/policy/endpoints/endpoints.go
@@ -54,10 +54,34 @@
 	probing  bool          // one request tries it after a pause
 	cost     float64       // running mean of seconds per unit of work, waits included; 0: unknown
 	pace     float64       // running mean of seconds per unit of work once begun; 0: unknown
+	loads    *load         // weights being loaded; nil: none known
 	draw     uint64        // how strongly this process is drawn to it among equals
 	set      *Set
 }
 
+// load is a load of weights under way at an endpoint.
+type load struct {
+	model   string
+	version int64
+	until   time.Time
+}
+
+// loadTakes is how long a load is taken to last: 0.9 s where few load at once. One
+// that lasts longer is found out by the endpoint's refusals.
+const loadTakes = time.Second
+
+// Loading notes that the endpoint was ordered to load weights. It starts nothing
+// of that model meanwhile: without the word of who gave the order, an owner of
+// items found that out by two or three refusals for each load.
+func (e *State) Loading(now time.Time, model string, version int64) {
+	e.loads = &load{model: model, version: version, until: now.Add(loadTakes)}
+}
+
+func (e *State) loading(r *Request) bool {
+	l := e.loads
+	return l != nil && l.model == r.Model && r.Now.Before(l.until) && e.Versions[l.model] < l.version
+}
+
 // Set is the endpoints of one service. It is not safe for concurrent use.
 type Set struct {
 	self uint64 // key of this process
@@ -167,7 +191,7 @@
 		return true
 	}
 	version, serves := e.Versions[r.Model]
-	if !serves || version < r.MinVersion {
+	if !serves || version < r.MinVersion || e.loading(r) {
 		return false
 	}
 	return r.Version == 0 || version == r.Version
--- a/internal/policy/endpoints/endpoints_test.go
+++ b/internal/policy/endpoints/endpoints_test.go
@@ -142,6 +142,27 @@
 		Expect(s.Pick(endpoints.Request{Now: start}).ID).NotTo(Equal(favourite))
 	})
 
+	It("leaves an endpoint alone for the model that it loads, until it has it", func() {
+		// The load: a new version of the weights, which a quarter of the engines load at
+		// once while a step's items wait. An engine that loads refuses new items.
+		s := set(1)
+		e := s.Get("e0")
+		ask := func(model string, ms int) *endpoints.State {
+			return s.Pick(endpoints.Request{Now: start.Add(time.Duration(ms) * time.Millisecond), Model: model})
+		}
+		put := func(version int64) {
+			s.Put(deployment.Endpoint{ID: "e0", Address: "10.0.0.0:1", Domain: "a", Slots: 9, Born: 1, Versions: map[string]int64{"m": version, "n": 1}})
+		}
+		put(1)
+		e.Loading(start, "m", 2)
+		Expect(ask("m", 500)).To(BeNil())
+		Expect(ask("n", 500)).NotTo(BeNil(), "another model is served meanwhile")
+		Expect(ask("m", 1000)).NotTo(BeNil(), "it may be done without a word")
+		e.Loading(start, "m", 2)
+		put(2)
+		Expect(ask("m", 500)).NotTo(BeNil(), "the list says that it is done")
+	})
+
 	It("gives a slow endpoint fewer requests", func() {
 		s := set(3)
 		for range 5 {
