Let calls on one connection go on when another's caller leaves

Cause: rpcpool closed a connection for a call that its own caller had ended.

And: one run of six packages under the race detector failed internal/peers, "drops a silent entry although the list still names it". Traced: a connection accepted between the close of all others and its entry in the list was served on, so a stopped entry answered there for good. The same race was in the fakes of internal/batchrun.

Change: only a call that had no answer in time, or a broken connection, is a lost connection; an entry that stops closes what comes in that moment.

--- a/internal/batchrun/fakes_test.go
+++ b/internal/batchrun/fakes_test.go
@@ -133,8 +133,9 @@
 	stop     context.CancelFunc
 	cutOff   *atomic.Bool // from the store
 
-	conns sync.Mutex
-	open  []net.Conn
+	conns  sync.Mutex
+	open   []net.Conn
+	killed bool
 }
 
 // path is a process's path to the store.
@@ -200,7 +201,12 @@
 		}
 		p.conns.Lock()
 		p.open = append(p.open, conn)
+		killed := p.killed
 		p.conns.Unlock()
+		if killed {
+			_ = conn.Close() // it came in the moment of the kill
+			return
+		}
 		go server.ServeConn(conn)
 	}
 }
@@ -209,6 +215,7 @@
 func (p *process) closeConns() {
 	p.conns.Lock()
 	defer p.conns.Unlock()
+	p.killed = true
 	for _, conn := range p.open {
 		_ = conn.Close()
 	}
--- a/internal/peers/server.go
+++ b/internal/peers/server.go
@@ -103,6 +103,12 @@
 		mu.Lock()
 		open[conn] = true
 		mu.Unlock()
+		if ctx.Err() != nil {
+			// It came in the moment of the stop, after the others were closed. Served on,
+			// a stopped entry would answer there, and nobody would miss it.
+			_ = conn.Close()
+			return nil
+		}
 		go func() {
 			server.ServeConn(conn)
 			mu.Lock()
--- a/internal/rpcpool/rpcpool.go
+++ b/internal/rpcpool/rpcpool.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"siskinloom.example/siskinloom/internal/rpcconn"
 )
 
@@ -84,14 +86,21 @@
 
 func (p *Pool) callOn(ctx context.Context, client *rpc.Client, address, method string, args, reply any) error {
 	err := rpcconn.Call(ctx, client, method, args, reply)
-	if err != nil && !rpcconn.IsServerError(err) {
-		// No answer came: the connection may be silent for good while a new one
-		// works, so no other call may wait on it.
+	if lost(err) {
 		p.forget(address, client)
 	}
 	return err
 }
 
+// lost tells whether a call's end shows its connection to be lost: no answer came
+// in time, so it may be silent for good while a new one works, and no other call
+// may wait on it. A call that its caller ended shows nothing. To close the
+// connection for it broke off the other calls there: each reader that left cost
+// a process its news and the reads of all others.
+func lost(err error) bool {
+	return err != nil && !rpcconn.IsServerError(err) && !errors.Is(err, context.Canceled)
+}
+
 // Keep closes the connections to all but the addresses given.
 func (p *Pool) Keep(addresses map[string]bool) {
 	p.mu.Lock()
