--- /dev/null
+++ b/internal/batchrun/adopt.go
@@ -0,0 +1,161 @@
+package batchrun
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"siskinloom.example/siskinloom/internal/events"
+	"siskinloom.example/siskinloom/internal/kv"
+	"siskinloom.example/siskinloom/internal/policy/batch"
+)
+
+// marked takes in a mark that names this process. One that stood before this
+// process started may belong to its predecessor, whose last write may still
+// take effect; writing the mark anew makes that write's condition fail.
+func (o *Owner) marked(ctx context.Context, mark kv.Record, afterStart bool) {
+	if afterStart {
+		o.adopt(ctx, mark)
+		return
+	}
+	o.remark(ctx, jobOfTodo(mark.Key), mark.Revision)
+}
+
+// told takes on a job that was just accepted for this process or moved to it, ahead of the
+// watch of its marks. The watch repeats the same revision, which changes nothing.
+func (o *Owner) told(args MarkArgs) {
+	raw, err := encode(todoMark{Fresh: !args.Begun})
+	if err != nil || o.lifetime == nil {
+		return
+	}
+	mark := kv.Record{Key: todoKey(o.Name, args.Job), Value: raw, Revision: args.Revision}
+	go o.adopt(o.lifetime, mark)
+}
+
+// remark writes the mark anew if it still has the revision. The follower then
+// tells the new one, and the job is loaded with all results that are durable.
+func (o *Owner) remark(ctx context.Context, id string, revision int64) {
+	raw, err := encode(todoMark{})
+	if err != nil {
+		events.JobUnreadable.Log(o.Log, logrus.Fields{"job": id, "error": err.Error()})
+		return
+	}
+	key := todoKey(o.Name, id)
+	for ctx.Err() == nil {
+		_, err := o.Store.Commit(ctx, kv.Transaction{Expect: []kv.Expectation{{Key: key, Revision: revision}}, Puts: []kv.Put{{Key: key, Value: raw}}})
+		if err == nil {
+			return // written now or by a try whose answer was lost, or not ours any more
+		}
+		pause(ctx, retryWrite)
+	}
+}
+
+// adopt takes a job on. It tries until the store has answered, as nobody else
+// may run the job meanwhile.
+func (o *Owner) adopt(ctx context.Context, mark kv.Record) {
+	id := jobOfTodo(mark.Key)
+	if !o.claim(id, mark.Revision) {
+		return
+	}
+	defer o.unclaim(id, mark.Revision)
+	for ctx.Err() == nil {
+		loaded, err := o.load(ctx, id, mark)
+		switch {
+		case err == nil:
+			o.begin(ctx, id, mark.Revision, loaded)
+			return
+		case errors.Is(err, ErrNoJob):
+			return
+		case !errors.Is(err, kv.ErrUnavailable):
+			events.JobUnreadable.Log(o.Log, logrus.Fields{"job": id, "error": err.Error()})
+			return
+		}
+		pause(ctx, retryWrite)
+	}
+}
+
+// claim tells whether a mark is still to be taken in, and keeps a second word of
+// it from loading the job twice.
+func (o *Owner) claim(id string, mark int64) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if j := o.jobs[id]; j != nil && j.mark >= mark || o.claims[id] >= mark {
+		return false
+	}
+	o.claims[id] = mark
+	return true
+}
+
+func (o *Owner) unclaim(id string, mark int64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.claims[id] == mark {
+		delete(o.claims, id)
+	}
+}
+
+// loadedJob is a job as the store has it.
+type loadedJob struct {
+	job   *batch.Job
+	parts int // values that hold the spec
+}
+
+func (o *Owner) load(ctx context.Context, id string, mark kv.Record) (loadedJob, error) {
+	var state todoMark
+	if err := decode(mark.Value, &state); err != nil {
+		return loadedJob{}, err
+	}
+	page, err := kv.ReadAll(ctx, o.Store, specPrefix(id))
+	if err != nil {
+		return loadedJob{}, err
+	}
+	parts := len(page.Records)
+	if parts == 0 {
+		return loadedJob{}, ErrNoJob
+	}
+	spec, err := joinSpec(page.Records, parts)
+	if err != nil {
+		return loadedJob{}, err
+	}
+	if state.Fresh {
+		return loadedJob{batch.NewJob(spec, nil), parts}, nil
+	}
+	done, err := kv.ReadAll(ctx, o.Store, donePrefix(id))
+	if err != nil {
+		return loadedJob{}, err
+	}
+	durable, err := joinDone(done.Records)
+	if err != nil {
+		return loadedJob{}, err
+	}
+	return loadedJob{batch.NewJob(spec, durable), parts}, nil
+}
+
+func (o *Owner) begin(ctx context.Context, id string, mark int64, loaded loadedJob) {
+	job := loaded.job
+	o.mu.Lock()
+	if o.ended.since(id, mark) {
+		o.mu.Unlock()
+		return
+	}
+	if old := o.jobs[id]; old != nil {
+		if old.mark >= mark {
+			o.mu.Unlock()
+			return
+		}
+		old.cancel()
+	}
+	owned := &ownedJob{id: id, mark: mark, parts: loaded.parts, job: job, readers: make(chan struct{})}
+	owned.ctx, owned.cancel = context.WithCancel(ctx)
+	o.jobs[id] = owned
+	resumed := o.left.Give(time.Now(), job)
+	_, _, _, done := job.Counts()
+	o.mu.Unlock() // from here on the job is run
+	if o.Adopted != nil {
+		o.Adopted(job.Spec)
+	}
+	events.JobOwned.Log(o.Log, logrus.Fields{"job": id, "mark": mark, "resumed": resumed, "items": job.Total(), "done": done, "model": job.Spec.Model, "min_version": job.Spec.MinVersion, "step": job.Spec.Step})
+	o.kick()
+}
--- /dev/null
+++ b/internal/batchrun/answer.go
@@ -0,0 +1,80 @@
+package batchrun
+
+import (
+	"context"
+	"time"
+)
+
+// read answers a call for results, waiting for some if none are there.
+func (o *Owner) read(ctx context.Context, args ReadArgs) ReadReply {
+	j := o.find(args.Job)
+	if j == nil {
+		return o.readEnded(args)
+	}
+	timer := time.NewTimer(args.Wait)
+	defer timer.Stop()
+	for {
+		j.mu.Lock()
+		results, news, closed := j.job.Readable(args.From), j.readers, j.job.Closed()
+		total := j.job.Total()
+		j.mu.Unlock()
+		if closed {
+			return o.readEnded(args)
+		}
+		if len(results) > 0 || args.From >= total || args.Wait <= 0 {
+			return ReadReply{Owned: true, Sure: o.sure(), Total: total, Results: results}
+		}
+		select {
+		case <-news:
+		case <-timer.C:
+			args.Wait = 0
+		case <-ctx.Done():
+			args.Wait = 0
+		}
+	}
+}
+
+func (o *Owner) sure() bool { return o.Certain == nil || o.Certain() }
+
+// readEnded answers from what is kept of jobs that ended here.
+func (o *Owner) readEnded(args ReadArgs) ReadReply {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	kept, found := o.ended.results(args.Job)
+	if !found {
+		return ReadReply{}
+	}
+	return ReadReply{Owned: true, Gone: true, Ended: o.ended.done[args.Job], Total: kept.total, Results: kept.from(args.From)}
+}
+
+func (o *Owner) body(args BodyArgs) BodyReply {
+	j := o.find(args.Job)
+	if j == nil {
+		return BodyReply{Ended: o.hasEnded(args.Job)}
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	body, found := j.job.Body(args.Item)
+	if !found || !j.job.Unlisted(args.Item) {
+		return BodyReply{Owned: !j.job.Closed()}
+	}
+	return BodyReply{Owned: true, Found: true, Body: body}
+}
+
+// hasEnded tells whether a job is known to have ended.
+func (o *Owner) hasEnded(id string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.ended.done[id]
+}
+
+// standing tells under which mark this process has a job.
+func (o *Owner) standing(id string) StandingReply {
+	j := o.find(id)
+	if j == nil {
+		return StandingReply{Ended: o.hasEnded(id)}
+	}
+	spec := j.job.Spec
+	record := jobRecord{Owner: o.Name, Model: spec.Model, Submitted: spec.Submitted, Total: len(spec.Items), Parts: j.parts}
+	return StandingReply{Owned: true, Mark: j.mark, Record: record}
+}
