--- a/internal/batchrun/batchrun_test.go
+++ b/internal/batchrun/batchrun_test.go
@@ -193,6 +193,19 @@
 		Eventually(func() map[string]int64 { return other.owner.Jobs() }).WithTimeout(patience).Should(HaveKey("third"), "the silent owner is passed over")
 	})
 
+	It("stays with its owner when only the connection to it is old", func() {
+		// What happens: the owner was killed and is back, or its connections were reset.
+		// The first call fails at once on the old connection; moving the job for that
+		// would give one model two owners who know nothing of each other's runs.
+		Expect(a.desk.Submit(context.Background(), spec("first", 1))).To(Succeed())
+		owner, other := owned("first")
+		Eventually(results(other, "first")).WithTimeout(patience).Should(Equal(1))
+		owner.resetConns()
+		Expect(other.desk.Submit(context.Background(), spec("second", 1))).To(Succeed())
+		Eventually(results(other, "second")).WithTimeout(patience).Should(Equal(1))
+		Expect(owner.owner.Jobs()).To(HaveKey("second"))
+	})
+
 	It("stays where it is when no other owner answers", func() {
 		// What happens: an entry that is cut off from every worker accepted the job by
 		// way of the store. It must not move it from one owner to the next.
--- a/internal/batchrun/fakes_test.go
+++ b/internal/batchrun/fakes_test.go
@@ -214,11 +214,19 @@
 // closeConns ends the connections of a process that is killed.
 func (p *process) closeConns() {
 	p.conns.Lock()
-	defer p.conns.Unlock()
 	p.killed = true
+	p.conns.Unlock()
+	p.resetConns()
+}
+
+// resetConns ends the connections of a process that lives on.
+func (p *process) resetConns() {
+	p.conns.Lock()
+	defer p.conns.Unlock()
 	for _, conn := range p.open {
 		_ = conn.Close()
 	}
+	p.open = nil
 }
 
 // run starts the process; stop kills it.
--- a/internal/batchrun/rehome.go
+++ b/internal/batchrun/rehome.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"siskinloom.example/siskinloom/internal/cluster"
@@ -53,7 +54,11 @@
 func (d *Desk) tellAccepted(owner, job string, revision int64) {
 	args := MarkArgs{Job: job, Revision: revision}
 	go func() {
-		if d.tell(owner, callMarked, args) == nil {
+		err := d.tell(owner, callMarked, args)
+		if err != nil && !errors.Is(err, context.DeadlineExceeded) {
+			err = d.tell(owner, callMarked, args) // the owner started anew, and the connection was to the one before
+		}
+		if err == nil {
 			return
 		}
 		d.distrust(owner)
