Name the relayed calls to the store in the field's terms

The package spoke of "own way", "others", "looks" and "patience", which a newcomer has to learn first: now direct path, relay, probe, answer times. Likewise gate.Unrouted for Turned and endpoints' preference for draw.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -213,9 +213,9 @@
 	events.RequestBad.Log(g.log, logrus.Fields{"request": id, "status": status, "error": why})
 }
 
-// Turned logs a request that ends before it has a route: End is NoRoute or
+// Unrouted logs a request that ends before it has a route: End is NoRoute or
 // NotReady.
-func (g *Gate) Turned(id, host, path string, end End) {
+func (g *Gate) Unrouted(id, host, path string, end End) {
 	g.ends[end].Inc(1)
 	version := int64(0)
 	if table := g.directory.Table(); table != nil {
--- a/internal/policy/endpoints/endpoints.go
+++ b/internal/policy/endpoints/endpoints.go
@@ -47,16 +47,16 @@
 	deployment.Endpoint
 	InFlight int // requests of this process without an end
 
-	failures int
-	aside    time.Duration // last pause
-	until    time.Time     // no requests before
-	full     time.Duration // last pause after a refusal
-	probing  bool          // one request tries it after a pause
-	cost     float64       // running mean of seconds per unit of work, waits included; 0: unknown
-	pace     float64       // running mean of seconds per unit of work once begun; 0: unknown
-	loads    *load         // weights being loaded; nil: none known
-	draw     uint64        // how strongly this process is drawn to it among equals
-	set      *Set
+	failures   int
+	aside      time.Duration // last pause
+	until      time.Time     // no requests before
+	full       time.Duration // last pause after a refusal
+	probing    bool          // one request tries it after a pause
+	cost       float64       // running mean of seconds per unit of work, waits included; 0: unknown
+	pace       float64       // running mean of seconds per unit of work once begun; 0: unknown
+	loads      *load         // weights being loaded; nil: none known
+	preference uint64        // of this process among equals, the highest first
+	set        *Set
 }
 
 // load is a load of weights under way at an endpoint.
@@ -92,7 +92,7 @@
 	observed int     // costs observed since then
 }
 
-// NewSet returns an empty set of a process. Each process is drawn to other
+// NewSet returns an empty set of a process. Each process prefers other
 // endpoints among equals: with the first in the order of their IDs, as many idle
 // processes as there are in a failure domain all chose the same one.
 func NewSet(self string) *Set {
@@ -106,7 +106,7 @@
 		return
 	}
 	s.Remove(e.ID)
-	s.byID[e.ID] = &State{Endpoint: e, draw: rendezvous.Weight(s.self, rendezvous.Key(e.ID)), set: s}
+	s.byID[e.ID] = &State{Endpoint: e, preference: rendezvous.Weight(s.self, rendezvous.Key(e.ID)), set: s}
 	s.sort()
 }
 
@@ -163,7 +163,7 @@
 			}
 			continue
 		}
-		if score := e.score(&r, slow); best == nil || score < least || score == least && e.draw > best.draw {
+		if score := e.score(&r, slow); best == nil || score < least || score == least && e.preference > best.preference {
 			best, least = e, score
 		}
 	}
--- a/internal/policy/storepath/patience.go
+++ b/internal/policy/storepath/answertimes.go
@@ -3,12 +3,12 @@
 import "time"
 
 const (
-	// leastPatience is above what a single slow answer of a healthy store takes,
+	// shortestLimit is above what a single slow answer of a healthy store takes,
 	// which answers in 4 ms.
-	leastPatience = 80 * time.Millisecond
-	// mostPatience is above the 240 ms of a store that is slowed sixtyfold, and
-	// leaves time to renew a lease by way of another process before it lapses.
-	mostPatience = 300 * time.Millisecond
+	shortestLimit = 80 * time.Millisecond
+	// longestLimit is above the 240 ms of a store that is slowed sixtyfold, and
+	// leaves time to renew a lease through a peer before it lapses.
+	longestLimit = 300 * time.Millisecond
 	// meanWeight and spreadWeight are the shares of a new answer in the running
 	// mean of answers' times and in that of their deviation, and spreads how many
 	// deviations above the mean an answer may take: the figures by which TCP sets
@@ -25,43 +25,43 @@
 	slowWrite = 700 * time.Millisecond
 )
 
-// Patience is how long an answer of the store may stay out before it is taken
+// AnswerTimes is how long an answer of the store may stay out before it is taken
 // for lost. While the store loses every second answer, a submitter that waits
 // 1.2 s got two tries when each waited 300 ms; it gets eight.
-type Patience struct {
+type AnswerTimes struct {
 	mean, spread time.Duration // 0: no answer yet
 	last         time.Duration
 }
 
-// Answered takes in how long an answer took.
-func (p *Patience) Answered(took time.Duration) {
-	p.last = took
-	if p.mean == 0 {
-		p.mean, p.spread = took, took/2
+// Observe takes in how long an answer took.
+func (t *AnswerTimes) Observe(took time.Duration) {
+	t.last = took
+	if t.mean == 0 {
+		t.mean, t.spread = took, took/2
 		return
 	}
-	off := took - p.mean
-	p.mean += time.Duration(meanWeight * float64(off))
-	p.spread += time.Duration(spreadWeight * float64(max(off, -off)-p.spread))
+	off := took - t.mean
+	t.mean += time.Duration(meanWeight * float64(off))
+	t.spread += time.Duration(spreadWeight * float64(max(off, -off)-t.spread))
 }
 
 // Limit returns how long an answer may stay out.
-func (p *Patience) Limit() time.Duration {
-	if p.mean == 0 {
-		return mostPatience
+func (t *AnswerTimes) Limit() time.Duration {
+	if t.mean == 0 {
+		return longestLimit
 	}
-	return min(max(p.mean+spreads*p.spread, leastPatience), mostPatience)
+	return min(max(t.mean+spreads*t.spread, shortestLimit), longestLimit)
 }
 
 // Slow tells whether the store answers late, so that an answer that stays out is
 // no sign of a lost one.
-func (p *Patience) Slow() bool { return max(p.mean, p.last) > slowAnswer }
+func (t *AnswerTimes) Slow() bool { return max(t.mean, t.last) > slowAnswer }
 
 // WriteLimit returns how long a write may go unanswered although another process
 // has reached the store.
-func (p *Patience) WriteLimit() time.Duration {
-	if p.Slow() {
+func (t *AnswerTimes) WriteLimit() time.Duration {
+	if t.Slow() {
 		return slowWrite
 	}
-	return p.Limit()
+	return t.Limit()
 }
--- a/internal/policy/storepath/path_test.go
+++ b/internal/policy/storepath/path_test.go
@@ -21,17 +21,17 @@
 func after(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 
 var _ = Describe("the way to the store", func() {
-	It("leaves the own way once another process reached the store, and returns at its first answer", func() {
+	It("leaves the direct path once another process reached the store, and returns at its first answer", func() {
 		// What callers see: one process is cut off from the store. It asks another
 		// one, whose answer shows that the cut is its own; from then on others are
-		// asked first, until the own way answers again.
+		// asked first, until the direct path answers again.
 		var p storepath.Path
-		Expect(p.OthersFirst(start)).To(BeFalse())
-		Expect(p.OthersServed(after(400), start)).To(BeTrue())
-		Expect(p.OthersServed(after(400), start)).To(BeFalse(), "it left already")
-		Expect(p.OthersFirst(after(500))).To(BeTrue())
-		Expect(p.Served(after(1500))).To(BeTrue())
-		Expect(p.OthersFirst(after(1600))).To(BeFalse())
+		Expect(p.RelayFirst(start)).To(BeFalse())
+		Expect(p.RelayServed(after(400), start)).To(BeTrue())
+		Expect(p.RelayServed(after(400), start)).To(BeFalse(), "it left already")
+		Expect(p.RelayFirst(after(500))).To(BeTrue())
+		Expect(p.DirectServed(after(1500))).To(BeTrue())
+		Expect(p.RelayFirst(after(1600))).To(BeFalse())
 	})
 
 	It("learns nothing from calls that began before one that was answered", func() {
@@ -39,31 +39,31 @@
 		// Taken for new failures, each of them sent the process away from a way that
 		// worked again, several times a second.
 		var p storepath.Path
-		p.Served(after(1000))
+		p.DirectServed(after(1000))
 		for range 3 {
-			p.Failed(after(900))
+			p.DirectFailed(after(900))
 		}
-		Expect(p.OthersFirst(after(1100))).To(BeFalse())
-		Expect(p.OthersServed(after(1100), after(900))).To(BeFalse())
-		Expect(p.Away()).To(BeFalse())
+		Expect(p.RelayFirst(after(1100))).To(BeFalse())
+		Expect(p.RelayServed(after(1100), after(900))).To(BeFalse())
+		Expect(p.Relaying()).To(BeFalse())
 	})
 
 	It("asks others first after two answers in a row stayed out, not after one", func() {
 		var p storepath.Path
-		p.Failed(start)
-		Expect(p.OthersFirst(start)).To(BeFalse(), "a store that loses single answers is no cut")
-		p.Failed(start)
-		Expect(p.OthersFirst(start)).To(BeTrue())
+		p.DirectFailed(start)
+		Expect(p.RelayFirst(start)).To(BeFalse(), "a store that loses single answers is no cut")
+		p.DirectFailed(start)
+		Expect(p.RelayFirst(start)).To(BeTrue())
 	})
 
 	It("knows the store to be down when others failed as well, until a call is answered", func() {
 		var p storepath.Path
-		p.Failed(start)
-		p.Failed(start)
+		p.DirectFailed(start)
+		p.DirectFailed(start)
 		Expect(p.Down(start)).To(BeFalse(), "others may reach it")
-		p.OthersFailed(start)
+		p.RelaysFailed(start)
 		Expect(p.Down(after(100))).To(BeTrue())
-		Expect(p.Served(after(200))).To(BeTrue())
+		Expect(p.DirectServed(after(200))).To(BeTrue())
 		Expect(p.Down(after(250))).To(BeFalse())
 	})
 
@@ -73,22 +73,22 @@
 		var p storepath.Path
 		asked := 0
 		for ms := 0; ms < 8000; ms += 100 {
-			p.Failed(after(ms))
-			if p.MayAsk(after(ms)) {
+			p.DirectFailed(after(ms))
+			if p.MayRelay(after(ms)) {
 				asked++
-				p.OthersFailed(after(ms))
+				p.RelaysFailed(after(ms))
 			}
 		}
 		Expect(asked).To(BeNumerically("<=", 5), "of 80 calls")
-		Expect(p.Away()).To(BeFalse())
+		Expect(p.Relaying()).To(BeFalse())
 	})
 
-	It("tries its own way once a second while it is away", func() {
+	It("tries its direct path once a second while it is away", func() {
 		var p storepath.Path
-		p.OthersServed(start, start)
+		p.RelayServed(start, start)
 		looks := 0
 		for ms := 0; ms < 5000; ms += 50 {
-			if p.Look(after(ms)) {
+			if p.ProbeDue(after(ms)) {
 				looks++
 			}
 		}
--- a/internal/storepath/query.go
+++ b/internal/storepath/query.go
@@ -23,7 +23,7 @@
 	RevokeLease
 )
 
-// Query is one call to the store, as it is passed on to another process.
+// Query is one call to the store, as it is relayed to another process.
 type Query struct {
 	Operation   Operation
 	Key         string         // of Read; prefix of ReadPage and Await
--- a/internal/storepath/others.go
+++ b/internal/storepath/relay.go
@@ -39,47 +39,47 @@
 // Unwrap returns what it means for the call.
 func (e *failsOthersError) Unwrap() error { return kv.ErrUnavailable }
 
-// askOthers makes the call by way of another process: the first that has an
+// relay makes the call through a peer: the first that has an
 // answer of the store, or for a call that must not be made twice the one that
 // helped last. began is when the call first went out.
-func (s *Store) askOthers(ctx context.Context, q *Query, began time.Time) outcome {
+func (s *Store) relay(ctx context.Context, q *Query, began time.Time) outcome {
 	if q.repeatable() {
-		helper, o := s.race(ctx, q)
+		helper, o := s.firstAnswer(ctx, q)
 		if !answered(o.err) {
 			return outcome{err: errors.Wrap(kv.ErrUnavailable, o.err.Error())}
 		}
-		s.othersServed(helper, began)
+		s.relayServed(helper, began)
 		return o
 	}
-	helper, found := s.standingHelper()
+	helper, found := s.lastHelper()
 	if !found {
 		var o outcome
-		if helper, o = s.race(ctx, &Query{Operation: Read, Key: lookKey}); !answered(o.err) {
+		if helper, o = s.firstAnswer(ctx, &Query{Operation: Read, Key: probeKey}); !answered(o.err) {
 			return outcome{err: errors.Wrap(kv.ErrUnavailable, o.err.Error())}
 		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, s.limit()+askNextAfter)
 	defer cancel()
-	o := s.askOne(ctx, helper, q)
+	o := s.relayBy(ctx, helper, q)
 	if answered(o.err) {
-		s.othersServed(helper, began)
+		s.relayServed(helper, began)
 	} else {
 		s.forgetHelper(helper)
 	}
 	return o
 }
 
-// race asks one process after the other, without waiting long for any, and
+// firstAnswer asks one process after the other, without waiting long for any, and
 // returns the first that had an answer of the store.
-func (s *Store) race(ctx context.Context, q *Query) (cluster.Member, outcome) {
-	type raced struct {
+func (s *Store) firstAnswer(ctx context.Context, q *Query) (cluster.Member, outcome) {
+	type relayed struct {
 		helper cluster.Member
 		outcome
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	candidates := s.candidates()
-	ended := make(chan raced, len(candidates))
+	ended := make(chan relayed, len(candidates))
 	next := time.NewTimer(0)
 	defer next.Stop()
 	last := outcome{err: errors.New("storepath: no other process to ask")}
@@ -92,7 +92,7 @@
 				m := candidates[asked]
 				asked++
 				under++
-				go func() { ended <- raced{m, s.askOne(ctx, m, q)} }()
+				go func() { ended <- relayed{m, s.relayBy(ctx, m, q)} }()
 				next.Reset(askNextAfter)
 			}
 		case r := <-ended:
@@ -111,7 +111,7 @@
 		}
 	}
 	if len(candidates) > 0 && ctx.Err() == nil {
-		s.othersFailed()
+		s.relaysFailed()
 	}
 	return cluster.Member{}, last
 }
@@ -121,7 +121,7 @@
 // this failure domain first, as bytes between domains are dearer.
 func (s *Store) candidates() []cluster.Member {
 	var workers, entries, first []cluster.Member
-	helper, helped := s.standingHelper()
+	helper, helped := s.lastHelper()
 	if helped {
 		first = append(first, helper)
 	}
@@ -149,12 +149,12 @@
 	return of[:min(len(of), askedOfAKind)]
 }
 
-// askOne has one process make the call. ErrUnavailable means that it certainly
+// relayBy has one process make the call. ErrUnavailable means that it certainly
 // had no effect.
-func (s *Store) askOne(ctx context.Context, m cluster.Member, q *Query) outcome {
-	ctx, cancel := context.WithTimeout(ctx, q.Wait+passLimit)
+func (s *Store) relayBy(ctx context.Context, m cluster.Member, q *Query) outcome {
+	ctx, cancel := context.WithTimeout(ctx, q.Wait+relayLimit)
 	defer cancel()
-	s.byOthers.Inc(1)
+	s.relayedOut.Inc(1)
 	var reply Reply
 	began := time.Now()
 	err := s.peers.Call(ctx, m.Address, callDo, *q, &reply)
@@ -167,15 +167,15 @@
 	case reply.Tried && reply.Code == Unavailable:
 		return outcome{err: &failsOthersError{by: m.Name, text: reply.Text}}
 	case reply.Code != Served:
-		return outcome{err: errors.Wrapf(codeErrors[reply.Code], "by way of %s: %s", m.Name, reply.Text)}
+		return outcome{err: errors.Wrapf(codeErrors[reply.Code], "through %s: %s", m.Name, reply.Text)}
 	}
 	if q.Operation != Await {
-		s.timed(time.Since(began))
+		s.observe(time.Since(began))
 	}
 	return outcome{result: reply.Result}
 }
 
-func (s *Store) standingHelper() (cluster.Member, bool) {
+func (s *Store) lastHelper() (cluster.Member, bool) {
 	s.mu.Lock()
 	name := s.helper
 	s.mu.Unlock()
@@ -193,14 +193,14 @@
 	}
 }
 
-// othersServed notes that another process reached the store. While the store is
-// slow that says nothing of the own way, whose answer is as late.
-func (s *Store) othersServed(m cluster.Member, began time.Time) {
+// relayServed notes that another process reached the store. While the store is
+// slow that says nothing of the direct path, whose answer is as late.
+func (s *Store) relayServed(m cluster.Member, began time.Time) {
 	s.mu.Lock()
-	left := !s.patience.Slow() && s.path.OthersServed(time.Now(), began)
+	left := !s.times.Slow() && s.path.RelayServed(time.Now(), began)
 	s.helper = m.Name
 	if left {
-		s.turn()
+		s.notifySwitch()
 	}
 	s.mu.Unlock()
 	if left {
@@ -208,8 +208,8 @@
 	}
 }
 
-func (s *Store) othersFailed() {
+func (s *Store) relaysFailed() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.path.OthersFailed(time.Now())
+	s.path.RelaysFailed(time.Now())
 }
--- a/internal/storepath/store.go
+++ b/internal/storepath/store.go
@@ -1,5 +1,5 @@
-// Package storepath reaches the platform's store by way of another process of
-// the system while this one is cut off from it or turned away.
+// Package storepath reaches the platform's store through another process
+// of the system, a peer, while this one is cut off from it or turned away.
 package storepath
 
 import (
@@ -19,13 +19,14 @@
 )
 
 const (
-	// lookLimit bounds the wait for an answer that shows whether the own way works.
-	lookLimit = 300 * time.Millisecond
-	// passLimit bounds a call that is passed on: a slow store's answer and the way
+	// probeLimit bounds the wait for an answer that shows whether the direct
+	// path works.
+	probeLimit = 300 * time.Millisecond
+	// relayLimit bounds a call that is relayed: a slow store's answer and the way
 	// to the other process and back.
-	passLimit = 700 * time.Millisecond
-	// lookKey is read to see whether the own way works again; nobody writes it.
-	lookKey = "live/look"
+	relayLimit = 700 * time.Millisecond
+	// probeKey is read to see whether the direct path works again; nobody writes it.
+	probeKey = "live/look"
 )
 
 // Store is the platform's store by whichever way works. It implements kv.Shared
@@ -35,36 +36,36 @@
 	// be nil.
 	Returned func()
 
-	own      kv.Shared
-	self     cluster.Member
-	members  *cluster.Members
-	peers    *rpcpool.Pool
-	log      *logrus.Logger
-	passing  chan struct{}
-	passedOn metrics.Counter // calls of others
-	byOthers metrics.Counter // own calls by way of others
+	direct     kv.Shared
+	self       cluster.Member
+	members    *cluster.Members
+	peers      *rpcpool.Pool
+	log        *logrus.Logger
+	carrying   chan struct{}
+	relayedIn  metrics.Counter // calls of others
+	relayedOut metrics.Counter // own calls through peers
 
 	mu   sync.Mutex
 	path policy.Path
-	// patience is how long an answer may stay out before another process is asked.
-	patience policy.Patience
-	// turned is closed and replaced when calls leave the own way or return to it.
-	turned chan struct{}
-	// helper is the process that last passed a call on, empty if none did lately.
+	// times says how long an answer may stay out before another process is asked.
+	times policy.AnswerTimes
+	// switched is closed and replaced when calls switch to peers or back.
+	switched chan struct{}
+	// helper is the process that last relayed a call, empty if none did lately.
 	helper string
 }
 
 var _ kv.Shared = (*Store)(nil)
 
-// New returns the store of a process that reaches it by own, or by way of the
-// workers among members.
-func New(own kv.Shared, self cluster.Member, members *cluster.Members, peers *rpcpool.Pool, log *logrus.Logger, registry metrics.Registry) *Store {
+// New returns the store of a process that reaches it by the direct path, or
+// through one of members.
+func New(direct kv.Shared, self cluster.Member, members *cluster.Members, peers *rpcpool.Pool, log *logrus.Logger, registry metrics.Registry) *Store {
 	return &Store{
-		own: own, self: self, members: members, peers: peers, log: log,
-		passing:  make(chan struct{}, mostPassedOn),
-		passedOn: metrics.GetOrRegisterCounter("store.passed-on", registry),
-		byOthers: metrics.GetOrRegisterCounter("store.by-others", registry),
-		turned:   make(chan struct{}),
+		direct: direct, self: self, members: members, peers: peers, log: log,
+		carrying:   make(chan struct{}, mostRelayed),
+		relayedIn:  metrics.GetOrRegisterCounter("store.relayed.in", registry),
+		relayedOut: metrics.GetOrRegisterCounter("store.relayed.out", registry),
+		switched:   make(chan struct{}),
 	}
 }
 
@@ -78,31 +79,31 @@
 func (s *Store) do(ctx context.Context, q *Query) (Result, error) {
 	s.mu.Lock()
 	now := time.Now()
-	othersFirst, look, down := s.path.OthersFirst(now), s.path.Look(now), s.path.Down(now)
+	relayFirst, probeDue, down := s.path.RelayFirst(now), s.path.ProbeDue(now), s.path.Down(now)
 	s.mu.Unlock()
-	if look {
-		go s.look(context.Background())
+	if probeDue {
+		go s.probe(context.Background())
 	}
-	if othersFirst {
-		if o := s.askOthers(ctx, q, now); !errors.Is(o.err, kv.ErrUnavailable) || ctx.Err() != nil {
+	if relayFirst {
+		if o := s.relay(ctx, q, now); !errors.Is(o.err, kv.ErrUnavailable) || ctx.Err() != nil {
 			return o.result, o.err
 		}
 	}
-	if down && !q.repeatable() && !s.look(ctx) {
+	if down && !q.repeatable() && !s.probe(ctx) {
 		return Result{}, errors.Wrap(kv.ErrUnavailable, "the store answers nobody; the write was not sent")
 	}
-	return s.ownWay(ctx, q)
+	return s.callDirect(ctx, q)
 }
 
-// ownWay makes the call directly. If the answer stays out or never comes,
+// callDirect makes the call directly. If the answer stays out or never comes,
 // another process is asked.
-func (s *Store) ownWay(ctx context.Context, q *Query) (Result, error) {
+func (s *Store) callDirect(ctx context.Context, q *Query) (Result, error) {
 	direct, cancel := context.WithCancel(ctx)
 	defer cancel()
 	began := time.Now()
 	own := make(chan outcome, 1)
 	go func() {
-		result, err := execute(direct, s.own, q)
+		result, err := execute(direct, s.direct, q)
 		own <- outcome{result, err}
 	}()
 	limit := s.limit()
@@ -114,7 +115,7 @@
 			return s.settle(ctx, q, began, o)
 		case <-timer.C:
 			return s.overdue(ctx, q, began, own)
-		case <-s.turns():
+		case <-s.switches():
 			if time.Since(began) > limit {
 				return s.again(ctx, q)
 			}
@@ -123,18 +124,18 @@
 }
 
 // overdue asks another process while the own answer stays out. A call that must
-// not be made twice is not repeated there: a read shows whether the own way is
+// not be made twice is not repeated there: a read shows whether the direct path is
 // cut, and the outcome is unknown if it is.
 func (s *Store) overdue(ctx context.Context, q *Query, began time.Time, own <-chan outcome) (Result, error) {
-	turned := s.turns()
+	switched := s.switches()
 	var giveUp <-chan time.Time // of a write, once another process reached the store
 	others := make(chan outcome, 1)
-	if s.mayAsk() {
+	if s.mayRelay() {
 		asked := q
 		if !q.repeatable() {
-			asked = &Query{Operation: Read, Key: lookKey}
+			asked = &Query{Operation: Read, Key: probeKey}
 		}
-		go func() { others <- s.askOthers(ctx, asked, began) }()
+		go func() { others <- s.relay(ctx, asked, began) }()
 	}
 	for {
 		select {
@@ -149,8 +150,8 @@
 			}
 			giveUp = time.After(time.Until(began.Add(s.writeLimit())))
 		case <-giveUp:
-			return Result{}, errAdrift
-		case <-turned: // another call found the way that works
+			return Result{}, errConnectionLost
+		case <-switched: // another call found the way that works
 			return s.again(ctx, q)
 		}
 	}
@@ -159,21 +160,21 @@
 // again repeats a call whose connection is given up, if it may be repeated.
 func (s *Store) again(ctx context.Context, q *Query) (Result, error) {
 	if !q.repeatable() {
-		return Result{}, errAdrift
+		return Result{}, errConnectionLost
 	}
 	return s.do(ctx, q)
 }
 
-// errAdrift is the end of a write that was under way when calls left the own way
-// or returned to it.
-var errAdrift = errors.Wrap(kv.ErrUnknown, "storepath: a write was under way when its connection was lost")
+// errConnectionLost is the end of a write that was under way when calls left
+// the direct path or returned to it.
+var errConnectionLost = errors.Wrap(kv.ErrUnknown, "storepath: a write was under way when its connection was lost")
 
-// settle takes in the end of a call by the own way. One that certainly had no
-// effect is made by way of another process.
+// settle takes in the end of a call by the direct path. One that certainly had no
+// effect is made through a peer.
 func (s *Store) settle(ctx context.Context, q *Query, began time.Time, o outcome) (Result, error) {
 	if answered(o.err) {
 		if q.Operation != Await {
-			s.timed(time.Since(began))
+			s.observe(time.Since(began))
 		}
 		s.served(began)
 		return o.result, o.err
@@ -182,23 +183,23 @@
 		return o.result, o.err // the caller ended it, which says nothing of the store
 	}
 	s.mu.Lock()
-	s.path.Failed(began)
+	s.path.DirectFailed(began)
 	s.mu.Unlock()
-	if !errors.Is(o.err, kv.ErrUnavailable) || !s.mayAsk() {
+	if !errors.Is(o.err, kv.ErrUnavailable) || !s.mayRelay() {
 		return o.result, o.err
 	}
-	if by := s.askOthers(ctx, q, began); !errors.Is(by.err, kv.ErrUnavailable) {
+	if by := s.relay(ctx, q, began); !errors.Is(by.err, kv.ErrUnavailable) {
 		return by.result, by.err
 	}
 	return o.result, o.err
 }
 
-// look tells whether the own way works.
-func (s *Store) look(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, lookLimit)
+// probe tells whether the direct path works, and notes it.
+func (s *Store) probe(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeLimit)
 	defer cancel()
 	began := time.Now()
-	if _, err := s.own.Read(ctx, lookKey); err != nil {
+	if _, err := s.direct.Read(ctx, probeKey); err != nil {
 		return false
 	}
 	s.served(began)
@@ -209,59 +210,59 @@
 func (s *Store) limit() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.patience.Limit()
+	return s.times.Limit()
 }
 
 func (s *Store) writeLimit() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.patience.WriteLimit()
+	return s.times.WriteLimit()
 }
 
-func (s *Store) timed(took time.Duration) {
+func (s *Store) observe(took time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.patience.Answered(took)
+	s.times.Observe(took)
 }
 
-func (s *Store) away() bool {
+func (s *Store) relaying() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.path.Away()
+	return s.path.Relaying()
 }
 
-func (s *Store) mayAsk() bool {
+func (s *Store) mayRelay() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.path.MayAsk(time.Now())
+	return s.path.MayRelay(time.Now())
 }
 
-// turns returns a channel that is closed when calls leave the own way or return
-// to it, so that those under way need not wait out their time.
-func (s *Store) turns() <-chan struct{} {
+// switches returns a channel that is closed when calls switch to peers or back,
+// so that those under way need not wait out their time.
+func (s *Store) switches() <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.turned
+	return s.switched
 }
 
-// turn wakes the calls under way; mu is held.
-func (s *Store) turn() {
-	close(s.turned)
-	s.turned = make(chan struct{})
+// notifySwitch wakes the calls under way; mu is held.
+func (s *Store) notifySwitch() {
+	close(s.switched)
+	s.switched = make(chan struct{})
 }
 
 func (s *Store) served(began time.Time) {
 	s.mu.Lock()
-	away := s.path.Away()
-	turned := s.path.Served(began)
-	if turned {
-		s.turn()
+	away := s.path.Relaying()
+	switched := s.path.DirectServed(began)
+	if switched {
+		s.notifySwitch()
 	}
 	s.mu.Unlock()
 	if away {
 		events.StoreDirect.Log(s.log, logrus.Fields{})
 	}
-	if turned && s.Returned != nil {
+	if switched && s.Returned != nil {
 		s.Returned()
 	}
 }
--- a/internal/storepath/storepath_test.go
+++ b/internal/storepath/storepath_test.go
@@ -111,7 +111,7 @@
 	return all
 }
 
-var _ = Describe("the store by way of others", func() {
+var _ = Describe("the store through peers", func() {
 	var ctx context.Context
 	var store *standin.Shared
 	BeforeEach(func() {
@@ -122,7 +122,7 @@
 
 	It("renews a lease while this process is cut off in silence", func() {
 		// What the caller sees: nothing. An owner of batch jobs is cut off from the
-		// store; its renewal gets no answer, goes by way of another worker before the
+		// store; its renewal gets no answer, goes through another worker before the
 		// lease lapses, and the ones after it go there at once. Without it the lease
 		// lapsed and the owner's jobs began anew elsewhere.
 		all := newProcesses(ctx, store, "a", "b", "c")
@@ -132,12 +132,12 @@
 		Expect(all[0].store.KeepLease(ctx, lease)).To(Succeed())
 		before := all[0].own.calls.Load()
 		Expect(all[0].store.KeepLease(ctx, lease)).To(Succeed())
-		Expect(all[0].own.calls.Load()).To(Equal(before), "it goes by way of others first")
+		Expect(all[0].own.calls.Load()).To(Equal(before), "it goes through peers first")
 	})
 
 	It("never makes a transaction twice, and says that its outcome is unknown", func() {
 		// What happens: a write is under way when the process is cut off. Whether it
-		// took effect nobody knows; made again by way of another process it would fail
+		// took effect nobody knows; made again through a peer it would fail
 		// its own condition, which reads as "somebody else wrote".
 		all := newProcesses(ctx, store, "a", "b")
 		all[0].own.silent.Store(true)
@@ -149,10 +149,10 @@
 		Expect(record.Revision).To(BeZero(), "the cut swallowed it")
 		committed, err := all[0].store.Commit(ctx, write)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(committed.Done).To(BeTrue(), "the next one goes by way of the other process")
+		Expect(committed.Done).To(BeTrue(), "the next one goes through the other process")
 	})
 
-	It("makes a call that was refused by way of another process at once", func() {
+	It("makes a call that was refused through a peer at once", func() {
 		all := newProcesses(ctx, store, "a", "b")
 		all[0].own.refuses.Store(true)
 		committed, err := all[0].store.Commit(ctx, kv.Transaction{Puts: []kv.Put{{Key: "k", Value: []byte("v")}}})
@@ -161,9 +161,9 @@
 	})
 
 	It("does not wait for the process that helped last when it falls silent", func() {
-		// What happens: the store loses answers, also those to the process that passes
-		// calls on. A renewal that waited for that one alone took so long that the
-		// lease lapsed, and the owner's jobs were moved.
+		// What happens: the store loses answers, also those to the process that
+		// passes calls on. A renewal that waited for that one alone took so
+		// long that the lease lapsed, and the owner's jobs were moved.
 		all := newProcesses(ctx, store, "a", "b", "c")
 		lease, _, err := all[0].store.GrantLease(ctx, time.Hour)
 		Expect(err).NotTo(HaveOccurred())
@@ -199,7 +199,7 @@
 		Eventually(heard, 5*time.Second).Should(Receive())
 	})
 
-	It("goes by way of an entry when the workers are cut off as well, and stays with it", func() {
+	It("goes through an entry when the workers are cut off as well, and stays with it", func() {
 		// What the caller sees: a batch job is submitted at an entry that is cut off
 		// from the store and from all workers, for twelve seconds. It reaches other
 		// entries; without them the job was refused at each entry of the domain that
@@ -219,7 +219,7 @@
 		GinkgoWriter.Println("second try took", time.Since(began))
 	})
 
-	It("returns to its own way when that works again", func() {
+	It("returns to its direct path when that works again", func() {
 		all := newProcesses(ctx, store, "a", "b")
 		all[0].own.refuses.Store(true)
 		_, err := all[0].store.Read(ctx, "any")
@@ -245,10 +245,10 @@
 	})
 
 	It("sends no write into an outage that it knows of, so that its outcome is certain", func() {
-		// What the caller sees: the store is silent for seconds. A submission that is
-		// sent into the silence may have been accepted for all that anybody knows, and
-		// its submitter waits until it gives up; one that is preceded by a look is
-		// refused at once as certainly not run.
+		// What the caller sees: the store is silent for seconds. A submission
+		// that is sent into the silence may have been accepted for all that
+		// anybody knows, and its submitter waits until it gives up; one that is
+		// preceded by a probe is refused at once as certainly not run.
 		all := newProcesses(ctx, store, "a", "b")
 		for _, p := range all {
 			p.own.refuses.Store(true)
