--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -192,6 +192,27 @@
 		Eventually(func() int { s.mu.Lock(); defer s.mu.Unlock(); return s.ended }).Should(Equal(1))
 	})
 
+	It("comes back at another moment than those that were refused with it", func() {
+		// The load: every endpoint is full and refuses, and two hundred callers come
+		// within a moment. Each is refused after the attempts that its route allows and
+		// told when to return; together again they would find them just as full.
+		const callers, slots = 200, 10
+		s := &script{replies: []reply{full}}
+		g := newGate(s, 4)
+		back := map[time.Duration]int{}
+		for range callers {
+			o := g.Serve(context.Background(), route(deployment.Idempotent), request())
+			Expect(o.End).To(Equal(gate.Refused))
+			Expect(o.RetryAfter).To(BeNumerically(">=", 50*time.Millisecond))
+			Expect(o.RetryAfter).To(BeNumerically("<=", 200*time.Millisecond))
+			back[o.RetryAfter/(150*time.Millisecond/slots)]++
+		}
+		for slot, n := range back {
+			Expect(n).To(BeNumerically("<", callers/3), "slot %d", slot)
+		}
+		Expect(len(s.endpoints())).To(BeNumerically("<=", 3*callers))
+	})
+
 	It("is refused at once when no endpoint is there", func() {
 		o := newGate(&script{replies: []reply{fine}}, 0).Serve(context.Background(), route(deployment.Idempotent), request())
 		Expect(o.End).To(Equal(gate.Refused))
