--- a/internal/policy/batch/job.go
+++ b/internal/policy/batch/job.go
@@ -45,11 +45,11 @@
 	order  []int // indices of items, the ones to start first in front
 	groups map[string]*group
 
-	decided []Result  // results in the order of their positions
-	listed  int       // of them, known to be durable
-	waiting time.Time // since when some of them wait to be written; zero: none, or not looked at
-	left    int       // items that are not ended
-	closed  bool
+	decided        []Result  // results in the order of their positions
+	listed         int       // of them, known to be durable
+	unwrittenSince time.Time // since when some of them wait to be written; zero: none, or not looked at
+	left           int       // items that are not ended
+	closed         bool
 }
 
 type group struct {
@@ -326,10 +326,10 @@
 	if j.Spec.WantGroups <= 0 || j.left == 0 {
 		return true
 	}
-	if j.waiting.IsZero() {
-		j.waiting = now
+	if j.unwrittenSince.IsZero() {
+		j.unwrittenSince = now
 	}
-	if now.Sub(j.waiting) >= partGather {
+	if now.Sub(j.unwrittenSince) >= partGather {
 		return true
 	}
 	return slices.ContainsFunc(results, func(r Result) bool {
@@ -340,7 +340,7 @@
 // Durable notes that the first n results are durable; readers may see them.
 func (j *Job) Durable(n int) {
 	j.listed = max(j.listed, n)
-	j.waiting = time.Time{}
+	j.unwrittenSince = time.Time{}
 }
 
 // Readable returns the durable results from a position on.
