Keep nothing of an ended job while any write of it is unsettled

Cause (found reading the change again): a write of results took effect and its answer was lost, the next try met an outage and was not sent; "certainly no effect" was taken for both. A job that ended then was answered by its owner with less than others had read from the store.

Change: a try that was not sent leaves the state as it was before it. The chunk to write is chosen and counted as sent under one lock.

--- a/internal/batchrun/batchrun_test.go
+++ b/internal/batchrun/batchrun_test.go
@@ -284,6 +284,35 @@
 		Expect(llm.resumed).To(Equal([]int64{2, 2}))
 	})
 
+	It("is read from the store when a write of unknown outcome was followed by one that was not sent", func() {
+		// What happens: a write of results takes effect and its answer is lost, the next
+		// try meets an outage and is not sent, and the job ends as the store returns. That
+		// the last try certainly had no effect says nothing of the one before it; an owner
+		// that took it for the last word showed readers less than others had read.
+		a.owner.Retry, b.owner.Retry = time.Hour, time.Hour
+		llm.hold = make(chan struct{})
+		Expect(a.desk.Submit(context.Background(), spec("j", 1))).To(Succeed())
+		owner, other := owned("j")
+		tries := func() int { return store.Count("commit") }
+		store.LoseAnswers(1)
+		close(llm.hold)
+		Eventually(func() int64 {
+			record, err := store.Read(context.Background(), "done/j/000000")
+			Expect(err).NotTo(HaveOccurred())
+			return record.Revision
+		}).WithTimeout(patience).ShouldNot(BeZero())
+		store.SetDown(true)
+		before := tries()
+		Eventually(func() int {
+			owner.owner.StoreBack()
+			return tries()
+		}).WithTimeout(patience).Should(BeNumerically(">", before))
+		store.SetDown(false)
+		Expect(other.desk.End(context.Background(), "j")).To(Succeed())
+		Eventually(owner.owner.Jobs).WithTimeout(patience).ShouldNot(HaveKey("j"))
+		Expect(results(other, "j")()).To(Equal(1))
+	})
+
 	It("is ended by its owner's word, without reading the store, and stays readable", func() {
 		// What the caller sees: nothing. Each end is sent again at other processes;
 		// reading the record for each made a twelfth of all calls to the store.
--- a/internal/batchrun/commit.go
+++ b/internal/batchrun/commit.go
@@ -37,24 +37,20 @@
 	}()
 	for j.ctx.Err() == nil {
 		pause(j.ctx, time.Until(j.written.Add(gatherResults)))
-		j.mu.Lock()
-		due := j.job.WriteDue(time.Now())
-		position, results := j.job.Undurable()
-		results = firstChunk(results)
-		j.mu.Unlock()
-		if !due || !j.send() {
+		c, due := j.nextChunk(time.Now())
+		if !due {
 			return
 		}
 		j.written = time.Now()
-		written, err := o.writeChunk(j, position, results)
+		written, err := o.writeChunk(j, c.position, c.results)
 		if err == nil {
-			o.durable(j, position, results[:written])
+			o.durable(j, c.position, c.results[:written])
 			continue
 		}
-		if errors.Is(err, kv.ErrUnavailable) {
-			j.unsend()
+		if errors.Is(err, kv.ErrUnavailable) && !c.unsettled {
+			j.settle()
 		}
-		events.ResultsDelayed.Log(o.Log, logrus.Fields{"job": j.id, "position": position, "results": len(results), "error": err.Error()})
+		events.ResultsDelayed.Log(o.Log, logrus.Fields{"job": j.id, "position": c.position, "results": len(c.results), "error": err.Error()})
 		if errors.Is(err, errNotOwner) {
 			o.drop(j.id, j.mark)
 			o.runs.Go(func() error { o.remark(o.lifetime, j.id, j.mark); return nil })
@@ -64,18 +60,30 @@
 	}
 }
 
-// send notes that a write goes out, unless the job has ended.
-func (j *ownedJob) send() bool {
+// chunk is what one write holds.
+type chunk struct {
+	position  int
+	results   []batch.Result
+	unsettled bool // the outcome of an earlier write is not known
+}
+
+// nextChunk returns the results to write now, and counts them as sent.
+func (j *ownedJob) nextChunk(now time.Time) (c chunk, due bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.sent = !j.job.Closed()
-	return j.sent
+	if j.job.Closed() || !j.job.WriteDue(now) {
+		return chunk{}, false
+	}
+	c.position, c.results = j.job.Undurable()
+	c.results = firstChunk(c.results)
+	c.unsettled, j.sent = j.sent, true
+	return c, true
 }
 
-// unsend notes that a write certainly had no effect. After any other failure what
-// it held may yet become durable, and a job that ended meanwhile is read from the
-// store.
-func (j *ownedJob) unsend() {
+// settle notes that a write certainly had no effect, and that none is out whose
+// outcome is unknown: such a one may yet become durable, and the job is then read
+// from the store if it ends.
+func (j *ownedJob) settle() {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if !j.job.Closed() {
