--- a/internal/batchrun/desk.go
+++ b/internal/batchrun/desk.go
@@ -185,14 +185,7 @@
 }
 
 func (d *Desk) askStanding(ctx context.Context, owner, id string) (StandingReply, error) {
-	if owner == d.Local.Name {
-		return d.Local.standing(id), nil
-	}
-	var reply StandingReply
-	if err := d.call(ctx, owner, callStands, 0, StandingArgs{Job: id}, &reply); err != nil {
-		return StandingReply{}, err // the reply may still be written to
-	}
-	return reply, nil
+	return ask(ctx, d, owner, callStands, 0, StandingArgs{Job: id}, func() StandingReply { return d.Local.standing(id) })
 }
 
 // commitEnd writes a job's end under a condition that says that the record is
@@ -244,30 +237,31 @@
 		return
 	}
 	owner := ownersFor(d.Models).of(args.Model, members)
-	if owner == d.Local.Name {
-		d.Local.loading(args)
-		return
-	}
 	go func() {
-		if err := d.call(context.Background(), owner, callLoading, 0, args, &struct{}{}); err != nil {
-			events.OwnerNotTold.Log(d.Log, logrus.Fields{"endpoint": args.Endpoint, "owner": owner, "model": args.Model, "error": err.Error()})
-		}
+		_ = d.tell(owner, callLoading, args, logrus.Fields{"endpoint": args.Endpoint, "model": args.Model}, func() { d.Local.loading(args) })
 	}()
 }
 
 // tellOwner tells an owner what its watch will tell it as well, only later.
 func (d *Desk) tellOwner(owner, method string, args MarkArgs) {
-	go func() { _ = d.tell(owner, method, args) }()
+	go func() { _ = d.tellMark(owner, method, args) }()
 }
 
-func (d *Desk) tell(owner, method string, args MarkArgs) error {
-	if owner == d.Local.Name {
-		d.Local.take(method, args)
-		return nil
-	}
-	err := d.call(context.Background(), owner, method, 0, args, &struct{}{})
+func (d *Desk) tellMark(owner, method string, args MarkArgs) error {
+	fields := logrus.Fields{"job": args.Job, "revision": args.Revision}
+	return d.tell(owner, method, args, fields, func() { d.Local.take(method, args) })
+}
+
+// tell calls a method of an owner that answers nothing. One that fails is logged
+// with the fields.
+func (d *Desk) tell(owner, method string, args any, fields logrus.Fields, local func()) error {
+	_, err := ask(context.Background(), d, owner, method, 0, args, func() struct{} {
+		local()
+		return struct{}{}
+	})
 	if err != nil {
-		events.OwnerNotTold.Log(d.Log, logrus.Fields{"job": args.Job, "owner": owner, "revision": args.Revision, "error": err.Error()})
+		fields["owner"], fields["error"] = owner, err.Error()
+		events.OwnerNotTold.Log(d.Log, fields)
 	}
 	return err
 }
--- a/internal/batchrun/reading.go
+++ b/internal/batchrun/reading.go
@@ -133,13 +133,18 @@
 
 func (d *Desk) askOwner(ctx context.Context, owner, id string, from int, wait time.Duration) (ReadReply, error) {
 	args := ReadArgs{Job: id, From: from, Wait: wait}
+	return ask(ctx, d, owner, callRead, wait, args, func() ReadReply { return d.Local.read(ctx, args) })
+}
+
+// ask calls a method of an owner, or does locally what it would do if the owner
+// is this process.
+func ask[R any](ctx context.Context, d *Desk, owner, method string, wait time.Duration, args any, local func() R) (R, error) {
 	if owner == d.Local.Name {
-		return d.Local.read(ctx, args), nil
+		return local(), nil
 	}
-	var reply ReadReply
-	err := d.call(ctx, owner, callRead, wait, args, &reply)
-	if err != nil {
-		return ReadReply{}, err // the reply may still be written to
+	var reply, none R
+	if err := d.call(ctx, owner, method, wait, args, &reply); err != nil {
+		return none, err // the reply may still be written to
 	}
 	return reply, nil
 }
@@ -253,14 +258,7 @@
 
 func (d *Desk) askBody(ctx context.Context, owner, id, item string) (BodyReply, error) {
 	args := BodyArgs{Job: id, Item: item}
-	if owner == d.Local.Name {
-		return d.Local.body(args), nil
-	}
-	var reply BodyReply
-	if err := d.call(ctx, owner, callBody, 0, args, &reply); err != nil {
-		return BodyReply{}, err
-	}
-	return reply, nil
+	return ask(ctx, d, owner, callBody, 0, args, func() BodyReply { return d.Local.body(args) })
 }
 
 func (d *Desk) storedBody(ctx context.Context, id, item string) ([]byte, error) {
--- a/internal/batchrun/rehome.go
+++ b/internal/batchrun/rehome.go
@@ -54,9 +54,9 @@
 func (d *Desk) tellAccepted(owner, job string, revision int64) {
 	args := MarkArgs{Job: job, Revision: revision}
 	go func() {
-		err := d.tell(owner, callMarked, args)
+		err := d.tellMark(owner, callMarked, args)
 		if err != nil && !errors.Is(err, context.DeadlineExceeded) {
-			err = d.tell(owner, callMarked, args) // the owner started anew, and the connection was to the one before
+			err = d.tellMark(owner, callMarked, args) // the owner started anew, and the connection was to the one before
 		}
 		if err == nil {
 			return
--- a/internal/cluster/subscribe.go
+++ b/internal/cluster/subscribe.go
@@ -131,15 +131,22 @@
 // scouts lists the scouts, the one in this process's failure domain first.
 func (s *Subscriber) scouts() []Member {
 	scouts := Scouts(s.Members)
-	self := rendezvous.Key(s.Self.Name)
-	sort.SliceStable(scouts, func(i, j int) bool {
-		near, other := scouts[i].Domain == s.Self.Domain, scouts[j].Domain == s.Self.Domain
+	SortNearest(s.Self, scouts)
+	return scouts
+}
+
+// SortNearest sorts members as a process should ask them: those of its failure
+// domain first, as bytes between domains are dearer, and among equals in an order
+// of its own, so that not all processes ask the same one.
+func SortNearest(self Member, members []Member) {
+	key := rendezvous.Key(self.Name)
+	sort.SliceStable(members, func(i, j int) bool {
+		near, other := members[i].Domain == self.Domain, members[j].Domain == self.Domain
 		if near != other {
 			return near
 		}
-		return rendezvous.Weight(self, rendezvous.Key(scouts[i].Name)) > rendezvous.Weight(self, rendezvous.Key(scouts[j].Name))
+		return rendezvous.Weight(key, rendezvous.Key(members[i].Name)) > rendezvous.Weight(key, rendezvous.Key(members[j].Name))
 	})
-	return scouts
 }
 
 // follow takes a scout's news until it fails or has none that are fresh. The
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -99,8 +99,11 @@
 // Loading notes that an endpoint was ordered to load weights.
 func (d *Directory) Loading(now time.Time, id, model string, version int64) {
 	d.mu.RLock()
-	home := d.homes[id]
+	home, found := d.homes[id]
 	d.mu.RUnlock()
+	if !found {
+		return
+	}
 	s := d.shard(home)
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/policy/storepath/path.go
+++ b/internal/policy/storepath/path.go
@@ -68,13 +68,13 @@
 
 // DirectServed notes an answer of the store by the direct path, and tells
 // whether that ends a doubt about it.
-func (p *Path) DirectServed(began time.Time) (turned bool) {
+func (p *Path) DirectServed(began time.Time) (switched bool) {
 	if began.After(p.served) {
 		p.served = began
 	}
-	turned = p.relaying || p.failures >= failuresToRelay
+	switched = p.relaying || p.failures >= failuresToRelay
 	p.relaying, p.failures = false, 0
-	return turned
+	return switched
 }
 
 // DirectFailed notes that a call by the direct path brought no answer.
@@ -86,7 +86,7 @@
 
 // RelayServed notes that another process reached the store for a call, and
 // tells whether calls switch to peers.
-func (p *Path) RelayServed(now, began time.Time) (left bool) {
+func (p *Path) RelayServed(now, began time.Time) (switched bool) {
 	p.pause, p.until = 0, time.Time{}
 	if p.relaying || began.Before(p.served) {
 		return false
--- a/internal/storepath/relay.go
+++ b/internal/storepath/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sort"
 	"time"
 
 	"github.com/pkg/errors"
@@ -11,7 +10,6 @@
 	"siskinloom.example/siskinloom/internal/cluster"
 	"siskinloom.example/siskinloom/internal/events"
 	"siskinloom.example/siskinloom/internal/kv"
-	"siskinloom.example/siskinloom/internal/policy/rendezvous"
 	"siskinloom.example/siskinloom/internal/rpcpool"
 )
 
@@ -39,9 +37,9 @@
 // Unwrap returns what it means for the call.
 func (e *failsOthersError) Unwrap() error { return kv.ErrUnavailable }
 
-// relay makes the call through a peer: the first that has an
-// answer of the store, or for a call that must not be made twice the one that
-// helped last. began is when the call first went out.
+// relay makes the call through a peer: the first that has an answer of the store,
+// or for a call that must not be made twice the one that helped last. began is
+// when the call first went out.
 func (s *Store) relay(ctx context.Context, q *Query, began time.Time) outcome {
 	if q.repeatable() {
 		helper, o := s.firstAnswer(ctx, q)
@@ -117,8 +115,8 @@
 }
 
 // candidates returns the processes to ask: the one that helped last, then
-// workers, who have processor time to spare, then entries; of each kind those of
-// this failure domain first, as bytes between domains are dearer.
+// workers, who have processor time to spare, then entries; of each kind the
+// nearest.
 func (s *Store) candidates() []cluster.Member {
 	var workers, entries, first []cluster.Member
 	helper, helped := s.lastHelper()
@@ -138,14 +136,7 @@
 }
 
 func (s *Store) nearest(of []cluster.Member) []cluster.Member {
-	self := rendezvous.Key(s.self.Name)
-	sort.Slice(of, func(i, j int) bool {
-		near, other := of[i].Domain == s.self.Domain, of[j].Domain == s.self.Domain
-		if near != other {
-			return near
-		}
-		return rendezvous.Weight(self, rendezvous.Key(of[i].Name)) > rendezvous.Weight(self, rendezvous.Key(of[j].Name))
-	})
+	cluster.SortNearest(s.self, of)
 	return of[:min(len(of), askedOfAKind)]
 }
 
