Have owners hear of marks that nobody told them within two seconds

An end by such an entry would have been heard as late, and items of an ended job have three seconds to stop.

Change: the watch of the marks waits 2 s, so that it asks anew.

Measured: the spec (accept and end, untold, store deaf) failed three of three times before, passes three times under the race detector.

Next: have a peer tell the owner.

--- a/internal/batchrun/batchrun_test.go
+++ b/internal/batchrun/batchrun_test.go
@@ -4,15 +4,18 @@
 	"bytes"
 	"context"
 	"fmt"
+	"net"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
 
 	"siskinloom.example/siskinloom/internal/batchrun"
 	"siskinloom.example/siskinloom/internal/dispatch"
 	"siskinloom.example/siskinloom/internal/kv"
 	"siskinloom.example/siskinloom/internal/policy/batch"
+	"siskinloom.example/siskinloom/internal/rpcpool"
 	"siskinloom.example/siskinloom/internal/standin"
 )
 
@@ -206,6 +209,32 @@
 		Expect(owner.owner.Jobs()).To(HaveKey("second"))
 	})
 
+	It("is taken on and let go though nobody tells its owner and its watch is deaf", func() {
+		// What happens: an entry that is cut off from every worker accepts and ends jobs
+		// through a peer, while the store drops history that the owner's watch has not
+		// heard. The trainer saw no result for twelve seconds, and items of a job whose
+		// end was acknowledged went on to engines.
+		Expect(a.desk.Submit(context.Background(), spec("first", 1))).To(Succeed())
+		owner, other := owned("first")
+		Eventually(results(other, "first")).WithTimeout(patience).Should(Equal(1))
+		entry := newProcess("e", store, llm)
+		entry.desk.Members = other.members
+		entry.desk.Peers = rpcpool.New(func(context.Context, string) (net.Conn, error) { return nil, errors.New("cut off") })
+		unheard := func(do func() error) {
+			store.SetDeaf(true)
+			ExpectWithOffset(1, do()).To(Succeed())
+			time.Sleep(200 * time.Millisecond) // the watch looks, and hears nothing
+			store.DropHistory()
+			store.SetDeaf(false)
+		}
+		const soon = 12 * time.Second // a watch that waits for long heard of it after 20 s
+		llm.hold = make(chan struct{})
+		unheard(func() error { return entry.desk.Submit(context.Background(), spec("j", 1)) })
+		Eventually(owner.owner.Jobs).WithTimeout(soon).Should(HaveKey("j"))
+		unheard(func() error { return entry.desk.End(context.Background(), "j") })
+		Eventually(owner.owner.Jobs).WithTimeout(soon).ShouldNot(HaveKey("j"))
+	})
+
 	It("stays where it is when no other owner answers", func() {
 		// What happens: an entry that is cut off from every worker accepted the job by
 		// way of the store. It must not move it from one owner to the next.
--- a/internal/batchrun/owner.go
+++ b/internal/batchrun/owner.go
@@ -30,8 +30,10 @@
 	gatherResults = 250 * time.Millisecond
 	// marksWait is how long the watch of the marks waits. Who accepts, ends or moves
 	// a job tells its owner by a call; the watch is for calls that did not come
-	// through. Its changes come at once; only what a deaf store kept from it waits.
-	marksWait = 20 * time.Second
+	// through, as from an entry that is cut off from every worker. Its changes come
+	// at once, but what a deaf store kept from it is found when it asks anew: items of
+	// a job whose end was acknowledged have three seconds to stop.
+	marksWait = 2 * time.Second
 	// retryWrite is the pause after a write that failed.
 	retryWrite = 200 * time.Millisecond
 )
