Keep texts under way on the owner's disk

Cause: what engines have made of a step lies in its owner's memory. A kill of all processes, a loss of power, or the owner's restart in mid-step begins every text anew, and the two open steps take 9 to 12 s where 7.0 s keep the trainer on its schedule.

Change: internal/textlog appends events to a file a job, framed and checksummed by a known library, written and synced every 100 ms by one goroutine that nobody waits for. An owner that takes a job on after a restart goes on from there. The store's marks stay the only truth; events of a run under an earlier mark, of a foreign or torn record, or after a gap are not joined.

--- a/internal/batchrun/adopt.go
+++ b/internal/batchrun/adopt.go
@@ -100,7 +100,8 @@
 // loadedJob is a job as the store has it.
 type loadedJob struct {
 	job   *batch.Job
-	parts int // values that hold the spec
+	parts int          // values that hold the spec
+	texts *batch.Texts // that an earlier run of this process kept
 }
 
 func (o *Owner) load(ctx context.Context, id string, mark kv.Record) (loadedJob, error) {
@@ -121,7 +122,7 @@
 		return loadedJob{}, err
 	}
 	if state.Fresh {
-		return loadedJob{batch.NewJob(spec, nil), parts}, nil
+		return loadedJob{batch.NewJob(spec, nil), parts, batch.NewTexts()}, nil
 	}
 	done, err := kv.ReadAll(ctx, o.Store, donePrefix(id))
 	if err != nil {
@@ -131,7 +132,7 @@
 	if err != nil {
 		return loadedJob{}, err
 	}
-	return loadedJob{batch.NewJob(spec, durable), parts}, nil
+	return loadedJob{batch.NewJob(spec, durable), parts, o.keptTexts(ctx, id)}, nil
 }
 
 // configure has a job run as the switches say, and estimate its texts by those
@@ -153,6 +154,31 @@
 	job.Learn(seen)
 }
 
+func (o *Owner) keptTexts(ctx context.Context, id string) *batch.Texts {
+	if !o.Switches.On(mechanism.TextJournal) {
+		return batch.NewTexts()
+	}
+	return o.Texts.Load(ctx, id)
+}
+
+// resume has a job that is taken on go on from the texts that there are of its
+// items; the owner's lock is held.
+func (o *Owner) resume(owned *ownedJob, texts *batch.Texts) (items int) {
+	items, made := owned.job.Resume(texts)
+	if items > 0 {
+		o.stats.kept.Inc(int64(items))
+		o.stats.events.Inc(int64(made))
+		events.TextsRecovered.Log(o.Log, logrus.Fields{"job": owned.id, "mark": owned.mark, "items": items, "events": made})
+	}
+	if o.Switches.On(mechanism.Leftovers) {
+		items += o.left.Give(time.Now(), owned.job)
+	}
+	if o.Switches.On(mechanism.TextJournal) {
+		o.Texts.Begin(owned.id, owned.mark, owned.job.Texts())
+	}
+	return items
+}
+
 func (o *Owner) begin(ctx context.Context, id string, mark int64, loaded loadedJob) {
 	job := loaded.job
 	o.mu.Lock()
@@ -171,10 +197,7 @@
 	owned.ctx, owned.cancel = context.WithCancel(ctx)
 	o.jobs[id] = owned
 	o.configure(job)
-	resumed := 0
-	if o.Switches.On(mechanism.Leftovers) {
-		resumed = o.left.Give(time.Now(), job)
-	}
+	resumed := o.resume(owned, loaded.texts)
 	_, _, _, done := job.Counts()
 	o.mu.Unlock() // from here on the job is run
 	if o.Adopted != nil {
--- a/internal/batchrun/itemrun.go
+++ b/internal/batchrun/itemrun.go
@@ -94,7 +94,11 @@
 	r.pace.event(time.Now())
 	r.job.mu.Lock()
 	defer r.job.mu.Unlock()
-	return r.job.job.Event(r.start.Index, event.ID, event.Data, event.Version)
+	if !r.job.job.Event(r.start.Index, event.ID, event.Data, event.Version) {
+		return false
+	}
+	r.owner.Texts.Event(r.job.id, r.job.mark, r.job.job.Spec.Items[r.start.Index].ID, event.ID, event.Data, event.Version)
+	return true
 }
 
 // moveGain is how many events' time a run must save by going on elsewhere: a move
--- a/internal/batchrun/owner.go
+++ b/internal/batchrun/owner.go
@@ -20,6 +20,7 @@
 	"siskinloom.example/siskinloom/internal/kv"
 	"siskinloom.example/siskinloom/internal/mechanism"
 	"siskinloom.example/siskinloom/internal/policy/batch"
+	"siskinloom.example/siskinloom/internal/textlog"
 )
 
 const (
@@ -52,6 +53,7 @@
 	Registry  metrics.Registry
 
 	Switches *mechanism.Switches
+	Texts    *textlog.Log // keeps texts under way; nil: nothing does
 
 	// Certain tells whether nobody can have moved this process's jobs unnoticed;
 	// nil: always.
@@ -84,7 +86,9 @@
 	aborted metrics.Counter
 	broken  metrics.Counter
 	moved   metrics.Counter
-	sample  metrics.Timer // from submission to listing
+	kept    metrics.Counter // items that went on from kept texts
+	events  metrics.Counter // of those texts
+	sample  metrics.Timer   // from submission to listing
 }
 
 // ownedJob is one job with its lock.
@@ -119,6 +123,8 @@
 		listed:  metrics.GetOrRegisterCounter("batch.items.listed", o.Registry),
 		aborted: metrics.GetOrRegisterCounter("batch.items.aborted", o.Registry),
 		moved:   metrics.GetOrRegisterCounter("batch.runs.moved", o.Registry),
+		kept:    metrics.GetOrRegisterCounter("texts.items", o.Registry),
+		events:  metrics.GetOrRegisterCounter("texts.events", o.Registry),
 		broken:  metrics.GetOrRegisterCounter("batch.runs.broken", o.Registry),
 		sample:  metrics.GetOrRegisterTimer("batch.item", o.Registry),
 	}
@@ -145,6 +151,7 @@
 	}}
 	group.Go(func() error { return marks.Run(ctx) })
 	group.Go(func() error { return o.dispatch(ctx) })
+	group.Go(func() error { return o.Texts.Run(ctx) })
 	return group.Wait()
 }
 
@@ -181,6 +188,7 @@
 	close(j.readers)
 	j.readers = make(chan struct{})
 	o.left.Keep(now, j.job)
+	o.Texts.Drop(j.id, j.mark)
 	if !j.sent {
 		o.ended.keep(now, *j.kept())
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/rpc"
+	"path/filepath"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -32,6 +33,7 @@
 	"siskinloom.example/siskinloom/internal/policy/batch"
 	"siskinloom.example/siskinloom/internal/rpcpool"
 	"siskinloom.example/siskinloom/internal/storepath"
+	"siskinloom.example/siskinloom/internal/textlog"
 )
 
 // Settings are one process's settings, from the platform's boot file.
@@ -50,6 +52,7 @@
 	StopTimeout   time.Duration // from SIGTERM to the end
 	LeaseTTL      time.Duration // must lie between the orders of two holders of a duty
 	MinTTL        time.Duration // shortest lease that the store grants
+	DataDir       string        // folder on the machine's own disk; empty: it has none
 	KeepResults   time.Duration // how long results stay readable after submission
 }
 
@@ -144,6 +147,9 @@
 	n.registrar = cluster.NewRegistrar(a.Store, self, ttl, n.members, log)
 	n.registrar.Unsettled = n.trouble.recent
 	n.owner = &batchrun.Owner{Name: s.ID, Store: a.Store, Directory: n.directory, Sender: a.Sender, Log: log, Keep: s.KeepResults, Registry: registry, Switches: switches, Lost: n.storeFailed, Back: n.storeBack}
+	if s.DataDir != "" {
+		n.owner.Texts = textlog.New(filepath.Join(s.DataDir, "texts"), log, registry)
+	}
 	n.owner.Init()
 	n.desk = &batchrun.Desk{Store: a.Store, Members: n.members, Peers: peers, Local: n.owner, Log: log, ValueBytes: s.ValueBytes, Models: n.directory.Models}
 	n.mover = &batchrun.Mover{Self: s.ID, Store: a.Store, Members: n.members, Log: log, Unsettled: n.trouble.recent, Answers: n.desk.Answers, Models: n.directory.Models, Tell: n.desk.TellMoved}
--- a/internal/policy/batch/job.go
+++ b/internal/policy/batch/job.go
@@ -26,16 +26,17 @@
 )
 
 type itemState struct {
-	phase      phase
-	notBefore  time.Time
-	failures   int      // answers that the item failed
-	scoreFails int      // answers that its scoring failed
-	text       [][]byte // data of the events so far
-	lastEvent  int64
-	versions   []int64 // that generated an event, in order of appearance
-	rest       float64 // events that are expected yet
-	lastAt     string  // engine of the last run
-	scoreAt    string  // endpoint of the last score
+	phase         phase
+	notBefore     time.Time
+	failures      int      // answers that the item failed
+	scoreFails    int      // answers that its scoring failed
+	text          [][]byte // data of the events so far
+	lastEvent     int64
+	versions      []int64 // that generated an event, in order of appearance
+	eventVersions []int64 // that generated the event at the same place of the text
+	rest          float64 // events that are expected yet
+	lastAt        string  // engine of the last run
+	scoreAt       string  // endpoint of the last score
 }
 
 // Job is a batch job under way. It is not safe for concurrent use.
@@ -108,7 +109,7 @@
 		return
 	}
 	it.phase = ended
-	it.text = nil
+	it.text, it.eventVersions = nil, nil
 	j.left--
 	g := j.groups[j.Spec.Items[i].Group]
 	g.left--
@@ -130,6 +131,7 @@
 	}
 	it.lastEvent = id
 	it.text = append(it.text, data)
+	it.eventVersions = append(it.eventVersions, version)
 	if !slices.Contains(it.versions, version) {
 		it.versions = append(it.versions, version)
 	}
@@ -183,7 +185,7 @@
 }
 
 func (it *itemState) restart() {
-	it.text, it.lastEvent, it.versions = nil, 0, nil
+	it.text, it.lastEvent, it.versions, it.eventVersions = nil, 0, nil, nil
 }
 
 func (j *Job) textComplete(i int) {
--- a/internal/policy/batch/leftovers.go
+++ b/internal/policy/batch/leftovers.go
@@ -16,13 +16,14 @@
 
 // Leftover is what an ended job had of an item that it did not list.
 type Leftover struct {
-	body      []byte
-	path      string
-	text      [][]byte
-	lastEvent int64
-	versions  []int64
-	complete  bool
-	until     time.Time
+	body          []byte
+	path          string
+	text          [][]byte
+	lastEvent     int64
+	versions      []int64
+	eventVersions []int64
+	complete      bool
+	until         time.Time
 }
 
 // Leftovers keeps texts of ended jobs for the jobs in which their items return.
@@ -46,7 +47,7 @@
 		}
 		item := &j.Spec.Items[i]
 		l.byItem[item.ID] = Leftover{
-			body: item.Body, path: item.Path, text: it.text, lastEvent: it.lastEvent, versions: it.versions,
+			body: item.Body, path: item.Path, text: it.text, lastEvent: it.lastEvent, versions: it.versions, eventVersions: it.eventVersions,
 			complete: it.phase == written || it.phase == scoring, until: now.Add(leftoverLife),
 		}
 	}
@@ -66,7 +67,7 @@
 	for i := range j.items {
 		item := &j.Spec.Items[i]
 		left, found := l.byItem[item.ID]
-		if !found || now.After(left.until) || j.items[i].phase != waiting {
+		if !found || now.After(left.until) || j.items[i].phase != waiting || j.items[i].lastEvent >= left.lastEvent {
 			continue
 		}
 		delete(l.byItem, item.ID)
@@ -82,15 +83,20 @@
 	if item.Path != left.path || !bytes.Equal(item.Body, left.body) {
 		return false
 	}
-	if j.Spec.SingleVersion && len(left.versions) > 1 {
+	return j.acceptsVersions(left.versions)
+}
+
+// acceptsVersions tells whether a text that these weights generated may be used.
+func (j *Job) acceptsVersions(versions []int64) bool {
+	if j.Spec.SingleVersion && len(versions) > 1 {
 		return false
 	}
-	return !slices.ContainsFunc(left.versions, func(v int64) bool { return v < j.Spec.MinVersion })
+	return !slices.ContainsFunc(versions, func(v int64) bool { return v < j.Spec.MinVersion })
 }
 
 func (j *Job) resumeFrom(i int, left *Leftover) {
 	it := &j.items[i]
-	it.text, it.lastEvent, it.versions = left.text, left.lastEvent, left.versions
+	it.text, it.lastEvent, it.versions, it.eventVersions = left.text, left.lastEvent, left.versions, left.eventVersions
 	j.estimate(i)
 	if left.complete {
 		j.textComplete(i)
--- /dev/null
+++ b/internal/textlog/textlog_test.go
@@ -0,0 +1,291 @@
+package textlog_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"siskinloom.example/siskinloom/internal/policy/batch"
+	"siskinloom.example/siskinloom/internal/textlog"
+)
+
+const patience = 20 * time.Second
+
+func silent() *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
+func spec(items int) *batch.Spec {
+	s := &batch.Spec{ID: "job", Model: "m", MinVersion: 3}
+	for i := range items {
+		s.Items = append(s.Items, batch.Item{ID: fmt.Sprintf("i%d", i), Group: "g"})
+	}
+	return s
+}
+
+var _ = Describe("the log of texts", func() {
+	var dir string
+	var registry metrics.Registry
+	var stop func()
+
+	open := func() *textlog.Log {
+		registry = metrics.NewRegistry()
+		return textlog.New(dir, silent(), registry)
+	}
+	run := func(l *textlog.Log) {
+		ctx, cancel := context.WithCancel(context.Background())
+		var done sync.WaitGroup
+		done.Go(func() { _ = l.Run(ctx) })
+		stop = func() { cancel(); done.Wait() }
+		DeferCleanup(stop)
+	}
+	write := func(l *textlog.Log, mark int64, item string, from, to int64) {
+		for id := from; id <= to; id++ {
+			l.Event("job", mark, item, id, []byte(fmt.Sprintf("e%d", id)), 3)
+		}
+	}
+	synced := func() int64 { return metrics.GetOrRegisterTimer("texts.sync", registry).Count() }
+	settled := func(l *textlog.Log) {
+		before := synced()
+		l.Event("job", 7, "settle", 1, []byte("x"), 3)
+		EventuallyWithOffset(1, synced).WithTimeout(patience).Should(BeNumerically(">", before))
+	}
+	// resumed returns where a job of three items goes on: the next event of each.
+	resumed := func(l *textlog.Log) []int64 {
+		scored := spec(3)
+		for i := range scored.Items {
+			scored.Items[i].Scorer = &batch.Scorer{ID: "s"} // a whole text still waits
+		}
+		job := batch.NewJob(scored, nil)
+		job.Resume(l.Load(context.Background(), "job"))
+		made := make([]int64, 3)
+		for i := range made {
+			made[i] = job.Made(i)
+		}
+		return made
+	}
+	files := func() []string {
+		names, err := filepath.Glob(filepath.Join(dir, "*"))
+		Expect(err).NotTo(HaveOccurred())
+		return names
+	}
+
+	BeforeEach(func() { dir = filepath.Join(GinkgoT().TempDir(), "texts") })
+
+	It("gives a process that was killed the texts it had", func() {
+		// The owner is killed in the middle of a step. The one that starts in its place
+		// takes the job on under a newer mark and goes on after the last event on disk;
+		// killed again before it has made any, it loses nothing either.
+		first := open()
+		run(first)
+		first.Begin("job", 7, batch.NewTexts())
+		write(first, 7, "i0", 1, 40)
+		write(first, 7, "i1", 1, 3)
+		first.Complete("job", 7, "i1", 3)
+		settled(first)
+		stop()
+
+		second := open()
+		Expect(resumed(second)).To(Equal([]int64{40, 3, 0}))
+		run(second)
+		second.Begin("job", 9, second.Load(context.Background(), "job"))
+		Eventually(func() []string { return files() }).WithTimeout(patience).Should(ConsistOf(ContainSubstring("09.texts")))
+		stop()
+		Expect(resumed(open())).To(Equal([]int64{40, 3, 0}))
+	})
+
+	It("keeps a whole text's end", func() {
+		l := open()
+		run(l)
+		l.Begin("job", 7, batch.NewTexts())
+		write(l, 7, "i0", 1, 2)
+		l.Complete("job", 7, "i0", 2)
+		settled(l)
+		job := batch.NewJob(spec(1), nil)
+		job.Resume(l.Load(context.Background(), "job"))
+		_, results := job.Undurable()
+		Expect(results).To(HaveLen(1))
+		Expect(string(results[0].Output)).To(Equal("e1\ne2"))
+	})
+
+	It("does not join the events of a run that was begun under an earlier mark", func() {
+		// The job is taken on anew while a run of before still ends: its events
+		// continue a text that the new run does not continue.
+		l := open()
+		run(l)
+		l.Begin("job", 5, batch.NewTexts())
+		write(l, 5, "i0", 1, 4)
+		l.Begin("job", 7, batch.NewTexts())
+		write(l, 5, "i0", 5, 9)
+		write(l, 7, "i0", 1, 2)
+		write(l, 5, "i0", 3, 3)
+		settled(l)
+		Expect(resumed(l)[0]).To(Equal(int64(2)))
+	})
+
+	It("uses what stands before a torn record, and afterwards only texts begun anew", func() {
+		// Power is lost: of the file's later blocks some are there and some are not.
+		l := open()
+		run(l)
+		l.Begin("job", 7, batch.NewTexts())
+		write(l, 7, "i0", 1, 10)
+		settled(l)
+		stat, err := os.Stat(files()[0])
+		Expect(err).NotTo(HaveOccurred())
+		whole := stat.Size()
+		write(l, 7, "i0", 11, 20)
+		settled(l)
+		hole, err := os.Stat(files()[0])
+		Expect(err).NotTo(HaveOccurred())
+		big := make([]byte, 40<<10) // the reader goes on at the next block
+		l.Event("job", 7, "i1", 1, big, 3)
+		settled(l)
+		write(l, 7, "i0", 21, 30)
+		write(l, 7, "i2", 1, 5)
+		settled(l)
+		stop()
+		f, err := os.OpenFile(files()[0], os.O_RDWR, 0)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = f.WriteAt(make([]byte, hole.Size()-whole), whole)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(f.Close()).To(Succeed())
+		made := resumed(open())
+		Expect(made[0]).To(Equal(int64(10)), "what follows continues events that are lost")
+		Expect(made[2]).To(Equal(int64(5)))
+	})
+
+	It("loads nothing of a file cut at any byte but events in order", func() {
+		l := open()
+		run(l)
+		l.Begin("job", 7, batch.NewTexts())
+		write(l, 7, "i0", 1, 30)
+		settled(l)
+		write(l, 7, "i0", 31, 60)
+		settled(l)
+		stop()
+		path := files()[0]
+		raw, err := os.ReadFile(path)
+		Expect(err).NotTo(HaveOccurred())
+		for cut := 0; cut <= len(raw); cut += 37 {
+			Expect(os.WriteFile(path, raw[:cut], 0o600)).To(Succeed())
+			Expect(resumed(open())[0]).To(BeElementOf(int64(0), int64(30), int64(60)))
+		}
+	})
+
+	It("passes over a file of another job under its name", func() {
+		l := open()
+		run(l)
+		l.Begin("job", 7, batch.NewTexts())
+		write(l, 7, "i0", 1, 3)
+		settled(l)
+		stop()
+		raw, err := os.ReadFile(files()[0])
+		Expect(err).NotTo(HaveOccurred())
+		name := filepath.Base(files()[0])
+		other := open()
+		run(other)
+		other.Begin("other", 7, batch.NewTexts())
+		other.Event("other", 7, "i0", 1, []byte("x"), 3)
+		Eventually(func() int { return len(files()) }).WithTimeout(patience).Should(Equal(2))
+		stop()
+		for _, path := range files() {
+			if filepath.Base(path) != name {
+				Expect(os.WriteFile(path, raw, 0o600)).To(Succeed())
+			}
+		}
+		job := batch.NewJob(spec(1), nil)
+		items, _ := job.Resume(open().Load(context.Background(), "other"))
+		Expect(items).To(BeZero())
+	})
+
+	It("removes what it has of a job that is over", func() {
+		l := open()
+		run(l)
+		l.Begin("job", 7, batch.NewTexts())
+		write(l, 7, "i0", 1, 3)
+		settled(l)
+		l.Drop("job", 5)
+		write(l, 7, "i0", 4, 4)
+		settled(l)
+		Expect(files()).To(HaveLen(1), "it is open under a newer mark")
+		l.Drop("job", 7)
+		Eventually(files).WithTimeout(patience).Should(BeEmpty())
+	})
+
+	It("stops keeping a job when the disk is full, and holds nobody up", func() {
+		// Writes fail as the disk has no room. What was synced before stays of use.
+		l := open()
+		full := &fullAfter{left: 2000}
+		l.SetCreate(func(path string) (textlog.File, error) {
+			f, err := os.Create(path)
+			full.file = f
+			return full, err
+		})
+		run(l)
+		l.Begin("job", 7, batch.NewTexts())
+		write(l, 7, "i0", 1, 3)
+		settled(l)
+		write(l, 7, "i0", 4, 500)
+		Eventually(func() int64 { return metrics.GetOrRegisterCounter("texts.stopped", registry).Count() }).WithTimeout(patience).Should(Equal(int64(1)))
+		write(l, 7, "i0", 501, 600)
+		stop()
+		Expect(resumed(open())[0]).To(BeElementOf(int64(0), int64(3)))
+	})
+
+	It("takes events without waiting while the disk hangs, up to a bound", func() {
+		l := open()
+		hang := make(chan struct{})
+		l.SetCreate(func(path string) (textlog.File, error) {
+			<-hang
+			return os.Create(path)
+		})
+		run(l)
+		l.Begin("job", 7, batch.NewTexts())
+		l.Event("job", 7, "i0", 1, []byte("first"), 3)
+		big := make([]byte, 1<<20)
+		for id := int64(2); id <= 20; id++ {
+			l.Event("job", 7, "i0", id, big, 3)
+		}
+		Expect(metrics.GetOrRegisterCounter("texts.stopped", registry).Count()).To(Equal(int64(1)))
+		close(hang)
+	})
+
+	It("keeps nothing on a machine without a disk", func() {
+		var none *textlog.Log
+		Expect(textlog.New("", silent(), metrics.NewRegistry())).To(BeNil())
+		none.Begin("job", 7, batch.NewTexts())
+		none.Event("job", 7, "i0", 1, nil, 3)
+		none.Drop("job", 7)
+		Expect(none.Run(context.Background())).To(Succeed())
+		Expect(none.Load(context.Background(), "job").Parts()).To(BeEmpty())
+	})
+})
+
+// fullAfter is a file on a disk with so many bytes left.
+type fullAfter struct {
+	file *os.File
+	left int
+}
+
+func (f *fullAfter) Write(p []byte) (int, error) {
+	if len(p) > f.left {
+		return 0, syscall.ENOSPC
+	}
+	f.left -= len(p)
+	return f.file.Write(p)
+}
+
+func (f *fullAfter) Sync() error  { return f.file.Sync() }
+func (f *fullAfter) Close() error { return f.file.Close() }
