Keep texts under way at the process that would take a job over

Ruled out: texts in the platform's store (dear, and away when it counts); copies of all texts (two thirds are shorter than half a second's work).

Change: an owner sends new events of texts of 16 events and more, packed, every 250 ms to the process that the choice of owners names next; that one keeps them on its own disk beside its own. Who takes a job on without texts of its own asks the others for 0.4 s. A failed call has all texts sent again.

--- a/internal/batchrun/adopt.go
+++ b/internal/batchrun/adopt.go
@@ -154,13 +154,6 @@
 	job.Learn(seen)
 }
 
-func (o *Owner) keptTexts(ctx context.Context, id string) *batch.Texts {
-	if !o.Switches.On(mechanism.TextJournal) {
-		return batch.NewTexts()
-	}
-	return o.Texts.Load(ctx, id)
-}
-
 // resume has a job that is taken on go on from the texts that there are of its
 // items; the owner's lock is held.
 func (o *Owner) resume(owned *ownedJob, texts *batch.Texts) (items int) {
@@ -173,9 +166,7 @@
 	if o.Switches.On(mechanism.Leftovers) {
 		items += o.left.Give(time.Now(), owned.job)
 	}
-	if o.Switches.On(mechanism.TextJournal) {
-		o.Texts.Begin(owned.id, owned.mark, owned.job.Texts())
-	}
+	o.sinks().begin(owned)
 	return items
 }
 
--- a/internal/batchrun/batchrun_test.go
+++ b/internal/batchrun/batchrun_test.go
@@ -197,7 +197,7 @@
 		Expect(p.desk.Submit(context.Background(), spec("j", 3))).To(Succeed())
 		Eventually(func() int {
 			job := batch.NewJob(spec("j", 3), nil)
-			_, made := job.Resume(p.owner.Texts.Load(context.Background(), "j"))
+			_, made := job.Resume(textlog.New(dir, silent(), metrics.NewRegistry()).Load(context.Background(), "j"))
 			return made
 		}).WithTimeout(patience).Should(Equal(6))
 		p.stop()
--- /dev/null
+++ b/internal/batchrun/copies.go
@@ -0,0 +1,256 @@
+package batchrun
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"sync"
+	"time"
+
+	"github.com/klauspost/compress/zstd"
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"siskinloom.example/siskinloom/internal/events"
+	"siskinloom.example/siskinloom/internal/mechanism"
+	"siskinloom.example/siskinloom/internal/policy/batch"
+	"siskinloom.example/siskinloom/internal/textlog"
+)
+
+const (
+	// copyEvery is how often new events go to the process that would take a job
+	// over: an owner that is lost for good costs that much of each text.
+	copyEvery = 250 * time.Millisecond
+	// leastCopied is how many events a text must have to be copied. Two thirds of
+	// a step's texts are shorter and are generated anew in half a second.
+	leastCopied = 16
+	// copyLimit bounds a copy's call.
+	copyLimit = 500 * time.Millisecond
+	// askLimit bounds how long other processes are asked for a job's texts when it
+	// is taken on; beginning the longest anew would cost seconds.
+	askLimit = 400 * time.Millisecond
+	// askAgain is the pause while no other process is known yet, after a start.
+	askAgain = 50 * time.Millisecond
+	// mostTexts bounds what a packed message may hold once unpacked.
+	mostTexts = 64 << 20
+)
+
+// CopyArgs hold new events of an owner's job.
+type CopyArgs struct {
+	Job  string
+	Mark int64
+	Raw  []byte // packed parts
+}
+
+// TextsArgs ask for what is kept of a job's texts.
+type TextsArgs struct{ Job string }
+
+// TextsReply is the answer.
+type TextsReply struct{ Raw []byte } // packed parts
+
+// Copier sends the texts under way of this process's jobs to the process that
+// would take each job over. It is safe for concurrent use.
+type Copier struct {
+	Owner *Owner
+	// Standby names the process that would own a model's job if this one were gone.
+	Standby func(model, job string) (name string, found bool)
+	// Send hands a process new events.
+	Send func(ctx context.Context, to string, args CopyArgs) error
+
+	gather *textlog.Gather
+	bytes  metrics.Counter
+
+	mu   sync.Mutex
+	sent map[string]sentTo // by job
+}
+
+// sentTo is where a job's texts were last sent.
+type sentTo struct {
+	mark int64
+	name string
+}
+
+func newCopier(registry metrics.Registry) *Copier {
+	return &Copier{
+		gather: textlog.NewGather(nil), sent: map[string]sentTo{},
+		bytes: metrics.GetOrRegisterCounter("texts.copied", registry),
+	}
+}
+
+func (c *Copier) run(ctx context.Context) error {
+	if c.Standby == nil {
+		return nil
+	}
+	ticker := time.NewTicker(copyEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			c.copyAll(ctx)
+		}
+	}
+}
+
+func (c *Copier) copyAll(ctx context.Context) {
+	var group errgroup.Group
+	for _, g := range c.gather.Take(leastCopied) {
+		group.Go(func() error { c.copy(ctx, &g); return nil })
+	}
+	_ = group.Wait() // each notes its own failure
+}
+
+// copy sends what is new of a job, or all of it to a process that may lack
+// something.
+func (c *Copier) copy(ctx context.Context, g *textlog.Gathered) {
+	j := c.Owner.find(g.Job)
+	if j == nil || j.mark != g.Mark {
+		return
+	}
+	to, found := c.Standby(j.job.Spec.Model, g.Job)
+	if !found {
+		c.forget(g.Job)
+		return
+	}
+	if !c.follows(g, to) {
+		g.Parts = j.longTexts()
+	}
+	ctx, cancel := context.WithTimeout(ctx, copyLimit)
+	defer cancel()
+	raw, err := pack(g.Parts)
+	if err == nil {
+		err = c.Send(ctx, to, CopyArgs{Job: g.Job, Mark: g.Mark, Raw: raw})
+	}
+	if err != nil {
+		c.again(j)
+		events.TextsNotCopied.Log(c.Owner.Log, logrus.Fields{"job": g.Job, "mark": g.Mark, "to": to, "error": err.Error()})
+		return
+	}
+	c.bytes.Inc(int64(len(raw)))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sent[g.Job] = sentTo{g.Mark, to}
+}
+
+// again has all of a job's texts sent with the next events or without: what the
+// failed call held would be missing before those that come.
+func (c *Copier) again(j *ownedJob) {
+	c.forget(j.id)
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if !j.job.Closed() {
+		c.gather.Begin(j.id, j.mark, j.job.Texts())
+	}
+}
+
+// follows tells whether a process has all that went before.
+func (c *Copier) follows(g *textlog.Gathered, to string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.sent[g.Job] == sentTo{g.Mark, to}
+}
+
+func (c *Copier) forget(job string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.sent, job)
+}
+
+// drop forgets a job that this process no longer owns.
+func (c *Copier) drop(job string, mark int64) {
+	c.gather.Drop(job, mark)
+	c.forget(job)
+}
+
+// longTexts returns the texts that are worth a copy.
+func (j *ownedJob) longTexts() []batch.TextPart {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	var long []batch.TextPart
+	for _, part := range j.job.Texts().Parts() {
+		if len(part.Events) >= leastCopied {
+			long = append(long, part)
+		}
+	}
+	return long
+}
+
+// Copy implements the call of that name: this process keeps another's texts.
+func (s *Service) Copy(args CopyArgs, _ *struct{}) error {
+	parts, err := unpack(args.Raw)
+	if err != nil {
+		return err
+	}
+	s.owner.Texts.Put(textlog.Gathered{Job: args.Job, Mark: args.Mark, Parts: parts})
+	return nil
+}
+
+// Texts implements the call of that name.
+func (s *Service) Texts(args TextsArgs, reply *TextsReply) error {
+	raw, err := pack(s.owner.Texts.Load(context.Background(), args.Job).Parts())
+	reply.Raw = raw
+	return err
+}
+
+// keptTexts returns the texts that this process or another one kept of a job that
+// is taken on.
+func (o *Owner) keptTexts(ctx context.Context, id string) *batch.Texts {
+	texts := batch.NewTexts()
+	if o.Switches.On(mechanism.TextJournal) {
+		texts = o.Texts.Load(ctx, id)
+	}
+	if !texts.Empty() || o.AskTexts == nil || !o.Switches.On(mechanism.TextCopies) {
+		return texts
+	}
+	ctx, cancel := context.WithTimeout(ctx, askLimit)
+	defer cancel()
+	for _, raw := range o.AskTexts(ctx, id) {
+		parts, err := unpack(raw)
+		if err != nil {
+			events.TextRecordBad.Log(o.Log, logrus.Fields{"place": "another process's texts of " + id, "error": err.Error()})
+			continue
+		}
+		theirs := batch.NewTexts()
+		for _, part := range parts {
+			theirs.Add(part)
+		}
+		texts.Merge(theirs)
+	}
+	return texts
+}
+
+// codec packs texts, which are a third shorter then, for other failure domains.
+var codec = sync.OnceValues(func() (*zstd.Encoder, *zstd.Decoder) {
+	encoder, err := zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1))
+	if err != nil {
+		panic(err) // constant options
+	}
+	decoder, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(mostTexts))
+	if err != nil {
+		panic(err)
+	}
+	return encoder, decoder
+})
+
+func pack(parts []batch.TextPart) ([]byte, error) {
+	var b bytes.Buffer
+	if err := gob.NewEncoder(&b).Encode(parts); err != nil {
+		return nil, errors.Wrap(err, "batchrun: texts")
+	}
+	encoder, _ := codec()
+	return encoder.EncodeAll(b.Bytes(), nil), nil
+}
+
+func unpack(raw []byte) ([]batch.TextPart, error) {
+	_, decoder := codec()
+	plain, err := decoder.DecodeAll(raw, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "batchrun: texts")
+	}
+	var parts []batch.TextPart
+	err = gob.NewDecoder(bytes.NewReader(plain)).Decode(&parts)
+	return parts, errors.Wrap(err, "batchrun: texts")
+}
--- /dev/null
+++ b/internal/batchrun/copies_test.go
@@ -0,0 +1,130 @@
+package batchrun_test
+
+import (
+	"context"
+	"sync/atomic"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"siskinloom.example/siskinloom/internal/batchrun"
+	"siskinloom.example/siskinloom/internal/policy/batch"
+	"siskinloom.example/siskinloom/internal/standin"
+	"siskinloom.example/siskinloom/internal/textlog"
+)
+
+var _ = Describe("the copies of texts under way", func() {
+	const made, whole = 20, 24 // events of each text before the pause, and in all
+	var llm *engines
+	var processes []*process
+
+	// start starts processes that send each other copies.
+	wrap := func(p *process) {} // changes a process before it runs
+	start := func(names ...string) {
+		store := standin.NewShared()
+		llm = &engines{sent: map[string]int{}, length: whole, pause: made, hold: make(chan struct{})}
+		processes = nil
+		for _, name := range names {
+			p := newProcess(name, store, llm)
+			p.owner.Texts = textlog.New(GinkgoT().TempDir(), silent(), metrics.NewRegistry())
+			p.owner.Copier.Standby, p.owner.Copier.Send, p.owner.AskTexts = p.desk.Standby, p.desk.SendCopy, p.desk.AskTexts
+			wrap(p)
+			processes = append(processes, p.run())
+		}
+		for _, p := range processes {
+			Eventually(func() int { return len(p.members.Live()) }).WithTimeout(patience).Should(Equal(len(names)))
+		}
+	}
+	ownerOf := func(id string) (owner *process, others []*process) {
+		Eventually(func() bool {
+			owner, others = nil, nil
+			for _, p := range processes {
+				if _, found := p.owner.Jobs()[id]; found {
+					owner = p
+				} else {
+					others = append(others, p)
+				}
+			}
+			return owner != nil
+		}).WithTimeout(patience).Should(BeTrue())
+		return owner, others
+	}
+	copied := func(p *process) func() int {
+		return func() int {
+			_, events := batch.NewJob(spec("j", 3), nil).Resume(p.owner.Texts.Load(context.Background(), "j"))
+			return events
+		}
+	}
+	release := func() {
+		llm.mu.Lock()
+		defer llm.mu.Unlock()
+		close(llm.hold)
+		llm.hold = nil
+	}
+	resumed := func() []int64 {
+		llm.mu.Lock()
+		defer llm.mu.Unlock()
+		return append([]int64(nil), llm.resumed...)
+	}
+
+	It("let the next owner go on when the one before is lost for good", func() {
+		// The owner sends what engines make to the process that would take its jobs
+		// over. It is killed and its machine does not come back: engines are asked for
+		// what comes after the last event that the standby was sent.
+		start("a", "b")
+		Expect(processes[0].desk.Submit(context.Background(), spec("j", 3))).To(Succeed())
+		owner, others := ownerOf("j")
+		Eventually(copied(others[0])).WithTimeout(patience).Should(Equal(3 * made))
+		owner.stop()
+		release()
+		Expect(others[0].mover.MoveAll(context.Background(), owner.name)).To(Succeed())
+		Eventually(results(others[0], "j")).WithTimeout(patience).Should(Equal(3))
+		Expect(resumed()).To(Equal([]int64{made, made, made}))
+	})
+
+	It("come from the owner before, or whoever has them, to one that has none", func() {
+		// The job goes to a process that was not its standby, as another one joined or
+		// left meanwhile. It asks the others when it takes the job on.
+		start("a", "b", "c")
+		Expect(processes[0].desk.Submit(context.Background(), spec("j", 3))).To(Succeed())
+		owner, others := ownerOf("j")
+		standby, third := others[0], others[1]
+		if name, _ := owner.desk.Standby("m", "j"); name == third.name {
+			standby, third = third, standby
+		}
+		Eventually(copied(standby)).WithTimeout(patience).Should(Equal(3 * made))
+		Expect(copied(third)()).To(BeZero())
+		release()
+		owner.stop()
+		texts := third.desk.AskTexts(context.Background(), "j")
+		Expect(texts).NotTo(BeEmpty())
+	})
+
+	It("are sent again as a whole when a call failed", func() {
+		// The first call does not come through. What it held is not there when the next
+		// events come, and they alone would be of no use.
+		wrap = func(p *process) {
+			send := p.owner.Copier.Send
+			var calls atomic.Int32
+			p.owner.Copier.Send = func(ctx context.Context, to string, args batchrun.CopyArgs) error {
+				if calls.Add(1) == 1 {
+					return errors.New("cut off")
+				}
+				return send(ctx, to, args)
+			}
+		}
+		DeferCleanup(func() { wrap = func(*process) {} })
+		start("a", "b")
+		Expect(processes[0].desk.Submit(context.Background(), spec("j", 3))).To(Succeed())
+		_, others := ownerOf("j")
+		Eventually(copied(others[0])).WithTimeout(patience).Should(Equal(3 * made))
+	})
+
+	It("are not taken from a message that cannot be read", func() {
+		start("a")
+		service := &batchrun.Service{}
+		Expect(service.Copy(batchrun.CopyArgs{Job: "j", Raw: []byte("torn")}, nil)).NotTo(Succeed())
+	})
+})
--- a/internal/batchrun/desk.go
+++ b/internal/batchrun/desk.go
@@ -242,6 +242,53 @@
 	}()
 }
 
+// Standby names the process that would own a job of this one if it were gone.
+func (d *Desk) Standby(model, job string) (name string, found bool) {
+	others := without(d.trusted(d.Members.Owners()), d.Local.Name)
+	if len(others) == 0 {
+		return "", false
+	}
+	return ownersFor(d.Models).of(affinity(model, job), others), true
+}
+
+// SendCopy hands a process new events of a job's texts.
+func (d *Desk) SendCopy(ctx context.Context, to string, args CopyArgs) error {
+	return d.call(ctx, to, callCopy, 0, args, &struct{}{})
+}
+
+// AskTexts asks the other processes that own jobs for a job's texts, and returns
+// what came until ctx ends.
+func (d *Desk) AskTexts(ctx context.Context, job string) [][]byte {
+	others := without(d.Members.Owners(), d.Local.Name)
+	for len(others) == 0 && ctx.Err() == nil {
+		pause(ctx, askAgain) // this process has just started
+		others = without(d.Members.Owners(), d.Local.Name)
+	}
+	answers := make(chan []byte, len(others))
+	for _, other := range others {
+		go func() {
+			var reply TextsReply
+			if err := d.call(ctx, other.Name, callTexts, 0, TextsArgs{Job: job}, &reply); err != nil {
+				answers <- nil
+				return
+			}
+			answers <- reply.Raw
+		}()
+	}
+	var texts [][]byte
+	for range others {
+		select {
+		case raw := <-answers:
+			if raw != nil {
+				texts = append(texts, raw)
+			}
+		case <-ctx.Done():
+			return texts
+		}
+	}
+	return texts
+}
+
 // tellOwner tells an owner what its watch will tell it as well, only later.
 func (d *Desk) tellOwner(owner, method string, args MarkArgs) {
 	go func() { _ = d.tellMark(owner, method, args) }()
--- a/internal/batchrun/fakes_test.go
+++ b/internal/batchrun/fakes_test.go
@@ -36,7 +36,9 @@
 	mu      sync.Mutex
 	sent    map[string]int // requests by ID
 	resumed []int64        // where runs went on
-	hold    chan struct{}  // closed: events after the second may be sent; nil: no pause
+	length  int64          // events of each text; 0: events
+	pause   int64          // events before a pause; 0: two
+	hold    chan struct{}  // closed: events after the pause may be sent; nil: no pause
 	breaks  int            // runs that break off after two events, from now on
 	cutEnds int            // runs that break off after their last event, from now on
 }
@@ -58,7 +60,11 @@
 		e.cutEnds--
 	}
 	e.mu.Unlock()
-	if r.Resume >= events {
+	length, early := int64(events), int64(2)
+	if e.length > 0 {
+		length, early = e.length, e.pause
+	}
+	if r.Resume >= length {
 		// Nothing is left to generate, so no weights are named.
 		return &dispatch.Answer{Status: http.StatusOK, Signed: true, Body: io.NopCloser(strings.NewReader(""))}, nil
 	}
@@ -68,20 +74,27 @@
 		return answer, nil
 	}
 	read, write := io.Pipe()
-	go stream(ctx, write, r.Resume, hold, broken, cutEnd)
+	go (&text{after: r.Resume, length: length, early: early, hold: hold, broken: broken, cutEnd: cutEnd}).stream(ctx, write)
 	answer.Body = read
 	return answer, nil
 }
 
-func stream(ctx context.Context, w *io.PipeWriter, after int64, hold chan struct{}, broken, cutEnd bool) {
-	for id := after + 1; id <= events; id++ {
-		if id > 2 && broken {
+// text is one run of an engine.
+type text struct {
+	after, length, early int64
+	hold                 chan struct{}
+	broken, cutEnd       bool
+}
+
+func (t *text) stream(ctx context.Context, w *io.PipeWriter) {
+	for id := t.after + 1; id <= t.length; id++ {
+		if id > t.early && t.broken {
 			_ = w.CloseWithError(io.ErrUnexpectedEOF)
 			return
 		}
-		if id > 2 && hold != nil {
+		if id > t.early && t.hold != nil {
 			select {
-			case <-hold:
+			case <-t.hold:
 			case <-ctx.Done():
 				_ = w.CloseWithError(ctx.Err())
 				return
@@ -91,7 +104,7 @@
 			return
 		}
 	}
-	if cutEnd {
+	if t.cutEnd {
 		_ = w.CloseWithError(io.ErrUnexpectedEOF)
 		return
 	}
--- a/internal/batchrun/owner.go
+++ b/internal/batchrun/owner.go
@@ -54,6 +54,9 @@
 
 	Switches *mechanism.Switches
 	Texts    *textlog.Log // keeps texts under way; nil: nothing does
+	Copier   *Copier      // keeps them at a second process; its calls may be nil
+	// AskTexts asks other processes for a job's texts; may be nil.
+	AskTexts func(ctx context.Context, job string) [][]byte
 
 	// Certain tells whether nobody can have moved this process's jobs unnoticed;
 	// nil: always.
@@ -116,6 +119,8 @@
 	o.seen = map[string]*sharedLengths{}
 	o.wake = make(chan struct{}, 1)
 	o.back = make(chan struct{})
+	o.Copier = newCopier(o.Registry)
+	o.Copier.Owner = o
 	if o.Retry == 0 {
 		o.Retry = retryWrite
 	}
@@ -130,6 +135,18 @@
 	}
 }
 
+// sinks returns where the events of texts go.
+func (o *Owner) sinks() sinks {
+	var s sinks
+	if o.Texts != nil && o.Switches.On(mechanism.TextJournal) {
+		s = append(s, o.Texts.Gather)
+	}
+	if o.Copier.Standby != nil && o.Switches.On(mechanism.TextCopies) {
+		s = append(s, o.Copier.gather)
+	}
+	return s
+}
+
 // Register offers the owner's calls to other processes.
 func (o *Owner) Register(server *rpc.Server) error {
 	return server.RegisterName(serviceName, &Service{owner: o})
@@ -152,6 +169,7 @@
 	group.Go(func() error { return marks.Run(ctx) })
 	group.Go(func() error { return o.dispatch(ctx) })
 	group.Go(func() error { return o.Texts.Run(ctx) })
+	group.Go(func() error { return o.Copier.run(ctx) })
 	return group.Wait()
 }
 
@@ -189,6 +207,7 @@
 	j.readers = make(chan struct{})
 	o.left.Keep(now, j.job)
 	o.Texts.Drop(j.id, j.mark)
+	o.Copier.drop(j.id, j.mark)
 	if !j.sent {
 		o.ended.keep(now, *j.kept())
 	}
--- a/internal/batchrun/rpc.go
+++ b/internal/batchrun/rpc.go
@@ -17,6 +17,8 @@
 	callPing    = serviceName + ".Ping"
 	callStands  = serviceName + ".Standing"
 	callLoading = serviceName + ".Loading"
+	callCopy    = serviceName + ".Copy"
+	callTexts   = serviceName + ".Texts"
 )
 
 // callSlack is how much longer than its own wait a call to an owner may take.
--- a/internal/batchrun/runs.go
+++ b/internal/batchrun/runs.go
@@ -46,7 +46,7 @@
 	pick.End(now, outcome, now.Sub(r.began), float64(r.made))
 	j.mu.Lock()
 	j.job.Ended(now, start.Index, how, pick.ID)
-	o.keepEnd(j, start.Index, how)
+	o.sinks().ended(j, start.Index, how)
 	j.mu.Unlock()
 	if j.ctx.Err() == nil {
 		o.noteRun(r, how, now.Sub(r.began), err)
@@ -54,18 +54,6 @@
 	o.kick()
 }
 
-// keepEnd notes in the log of texts what the end of a run made of an item's text;
-// the job's lock is held.
-func (o *Owner) keepEnd(j *ownedJob, i int, how batch.RunEnd) {
-	item := j.job.Spec.Items[i].ID
-	switch made := j.job.Made(i); {
-	case how == batch.RunComplete && made > 0:
-		o.Texts.Complete(j.id, j.mark, item, made)
-	case how == batch.RunFailed, how == batch.RunOffVersion:
-		o.Texts.Restart(j.id, j.mark, item)
-	}
-}
-
 var runEnds = [...]string{"complete", "broke", "refused", "failed", "impossible", "off-version", "moved"}
 
 func (o *Owner) noteRun(r *itemRun, how batch.RunEnd, took time.Duration, err error) {
--- /dev/null
+++ b/internal/batchrun/sinks.go
@@ -0,0 +1,36 @@
+package batchrun
+
+import (
+	"siskinloom.example/siskinloom/internal/policy/batch"
+	"siskinloom.example/siskinloom/internal/textlog"
+)
+
+// sinks are where the events of texts under way go besides the job itself. All
+// are told under the job's lock, so that events come in order.
+type sinks []*textlog.Gather
+
+func (s sinks) begin(j *ownedJob) {
+	texts := j.job.Texts()
+	for _, g := range s {
+		g.Begin(j.id, j.mark, texts)
+	}
+}
+
+func (s sinks) event(j *ownedJob, item string, id int64, data []byte, version int64) {
+	for _, g := range s {
+		g.Event(j.id, j.mark, item, id, data, version)
+	}
+}
+
+// ended notes what the end of a run made of an item's text.
+func (s sinks) ended(j *ownedJob, i int, how batch.RunEnd) {
+	item, made := j.job.Spec.Items[i].ID, j.job.Made(i)
+	for _, g := range s {
+		switch {
+		case how == batch.RunComplete && made > 0:
+			g.Complete(j.id, j.mark, item, made)
+		case how == batch.RunFailed, how == batch.RunOffVersion:
+			g.Restart(j.id, j.mark, item)
+		}
+	}
+}
--- a/internal/events/fleet.go
+++ b/internal/events/fleet.go
@@ -33,6 +33,7 @@
 	TextsRecovered = define(2118, logrus.InfoLevel, "texts of a batch job found on this machine's disk")
 	TextsStopped   = define(2119, logrus.WarnLevel, "texts of a batch job are not kept on disk")
 	TextRecordBad  = define(2120, logrus.WarnLevel, "part of a file of texts cannot be used")
+	TextsNotCopied = define(2121, logrus.InfoLevel, "new events of texts did not reach the standby process")
 	JobSwept       = define(2116, logrus.InfoLevel, "old batch job removed from the store")
 	ReadFailed     = define(2114, logrus.WarnLevel, "results of a batch job could not be read")
 )
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -46,6 +46,8 @@
 	WholeSteps Mechanism = "whole-steps"
 	// TextJournal keeps texts under way on the machine's disk.
 	TextJournal Mechanism = "text-journal"
+	// TextCopies keeps texts under way at a second process.
+	TextCopies Mechanism = "text-copies"
 	// AlternateLoads has half of a model's engines load each version.
 	AlternateLoads Mechanism = "alternate-loads"
 	// TellLoads tells owners of items which engines load weights.
@@ -58,7 +60,7 @@
 func All() []Mechanism {
 	all := []Mechanism{
 		Hedges, SetAside, OwnPreference, NearFirst, MoveSlow, MoveCrowded, LongestFirst, SpareLast, ByDelay, KeepNarrow,
-		LearnLengths, Leftovers, WholeSteps, TextJournal, AlternateLoads, TellLoads, Relay,
+		LearnLengths, Leftovers, WholeSteps, TextJournal, TextCopies, AlternateLoads, TellLoads, Relay,
 	}
 	sort.Slice(all, func(i, j int) bool { return all[i] < all[j] })
 	return all
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -155,6 +155,9 @@
 	n.mover = &batchrun.Mover{Self: s.ID, Store: a.Store, Members: n.members, Log: log, Unsettled: n.trouble.recent, Answers: n.desk.Answers, Models: n.directory.Models, Tell: n.desk.TellMoved}
 	n.gate = gate.New(n.directory, a.Sender, log, registry)
 	n.gate.Switches = switches
+	if s.Worker {
+		n.owner.Copier.Standby, n.owner.Copier.Send, n.owner.AskTexts = n.desk.Standby, n.desk.SendCopy, n.desk.AskTexts
+	}
 	n.owner.Certain = n.registrar.Certain
 	n.store.Returned = n.owner.StoreBack
 	n.owner.Spared = n.spared
--- a/internal/policy/batch/texts.go
+++ b/internal/policy/batch/texts.go
@@ -50,6 +50,19 @@
 	return true
 }
 
+// Empty tells whether there are no texts.
+func (t *Texts) Empty() bool { return len(t.byItem) == 0 }
+
+// Merge takes over each text of which the other collection has more.
+func (t *Texts) Merge(other *Texts) {
+	for item, theirs := range other.byItem {
+		ours := t.byItem[item]
+		if ours == nil || len(theirs.Events) > len(ours.Events) || theirs.Complete && len(theirs.Events) == len(ours.Events) {
+			t.byItem[item] = theirs
+		}
+	}
+}
+
 // Sever notes that parts were lost here: texts so far stand, and parts that come
 // later count only for texts that are begun anew. A later part may continue
 // another run's text of the same length.
--- a/internal/textlog/files.go
+++ b/internal/textlog/files.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"sort"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/syndtr/goleveldb/leveldb/journal"
@@ -86,22 +87,6 @@
 	return names
 }
 
-// earlier returns the names of a job's files of other marks, once for each file
-// that has taken their place.
-func (d *directory) earlier(job string, mark int64, now *logFile) []string {
-	if now.alone {
-		return nil
-	}
-	now.alone = true
-	var names []string
-	for _, name := range d.of(job) {
-		if name != nameOf(job, mark) {
-			names = append(names, name)
-		}
-	}
-	return names
-}
-
 func nameOf(job string, mark int64) string {
 	return fmt.Sprintf("%s%020d%s", prefixOf(job), mark, suffix)
 }
@@ -116,7 +101,8 @@
 	file  file
 	out   *journal.Writer
 	size  int64
-	alone bool // the job's files of other marks were removed
+	alone bool      // the job's files of other marks were removed
+	used  time.Time // when something was last added
 }
 
 func (d *directory) open(job string, mark int64) (*logFile, error) {
--- a/internal/textlog/textlog_test.go
+++ b/internal/textlog/textlog_test.go
@@ -221,6 +221,7 @@
 		settled(l)
 		Expect(files()).To(HaveLen(1), "it is open under a newer mark")
 		l.Drop("job", 7)
+		Consistently(files).WithTimeout(200*time.Millisecond).Should(HaveLen(1), "the next owner may ask for it")
 		Eventually(files).WithTimeout(patience).Should(BeEmpty())
 	})
 
@@ -266,7 +267,8 @@
 		var none *textlog.Log
 		Expect(textlog.New("", silent(), metrics.NewRegistry())).To(BeNil())
 		none.Begin("job", 7, batch.NewTexts())
-		none.Event("job", 7, "i0", 1, nil, 3)
+		none.Add("job", 7, batch.TextPart{Item: "i0", First: 1})
+		none.Put(textlog.Gathered{Job: "job", Mark: 7})
 		none.Drop("job", 7)
 		Expect(none.Run(context.Background())).To(Succeed())
 		Expect(none.Load(context.Background(), "job").Parts()).To(BeEmpty())
--- a/internal/textlog/writer.go
+++ b/internal/textlog/writer.go
@@ -1,83 +1,40 @@
 package textlog
 
-import (
-	"time"
-
-	"siskinloom.example/siskinloom/internal/policy/batch"
-)
+import "time"
 
 // writer writes what the log has gathered. Only its goroutine touches files that
 // are open.
 type writer struct {
-	log       *Log
-	files     map[string]*logFile
-	unclaimed map[string]bool // files that were there at the start
-	purge     time.Time       // when those still unclaimed are removed
-}
-
-// batchOfParts is what one flush writes of a job.
-type batchOfParts struct {
-	job   string
-	mark  int64
-	parts []batch.TextPart
+	log      *Log
+	files    map[string]*logFile  // by job
+	removals map[string]time.Time // when files that are not open are removed, by name
 }
 
-// takeStock notes the files that are there at the start.
-func (w *writer) takeStock() {
-	w.unclaimed = map[string]bool{}
+// takeStock has the files that are there at the start removed unless their jobs
+// are taken on.
+func (w *writer) takeStock(now time.Time) {
 	for _, name := range w.log.dir.list() {
-		w.unclaimed[name] = true
+		w.removals[name] = now.Add(keepIdle)
 	}
-	w.purge = time.Now().Add(keepUnclaimed)
 }
 
 func (w *writer) flush(now time.Time) {
-	dropped, batches := w.log.take()
-	for _, job := range dropped {
-		w.remove(job)
-	}
-	for _, b := range batches {
-		if err := w.write(&b); err != nil {
-			w.fail(b.job, err)
+	for _, g := range w.log.Take(0) {
+		if err := w.write(&g, now); err != nil {
+			w.log.Stop(g.Job, err.Error())
 		}
 	}
-	if len(w.unclaimed) > 0 && now.After(w.purge) {
-		for name := range w.unclaimed {
-			w.log.dir.remove(name)
-		}
-		w.unclaimed = nil
-	}
-	total := int64(0)
-	for _, f := range w.files {
-		total += f.size
-	}
-	w.log.stats.onDisk.Update(total)
-}
-
-// take returns what is to be done, and counts it as done.
-func (l *Log) take() (dropped []string, batches []batchOfParts) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	dropped, l.dropped = l.dropped, nil
-	for job, o := range l.jobs {
-		if len(o.parts) == 0 {
-			continue
-		}
-		for i := range o.parts {
-			l.pending -= sizeOf(&o.parts[i])
-		}
-		batches = append(batches, batchOfParts{job, o.mark, o.parts})
-		o.parts, o.last = nil, map[string]int{}
-	}
-	return dropped, batches
+	w.closeIdle(now)
+	w.removeDue(now)
+	w.log.stats.onDisk.Update(w.onDisk())
 }
 
 // write appends parts to the job's file and syncs it. The first write under a mark
 // begins a new file, which holds all that is known; those before it then go.
-func (w *writer) write(b *batchOfParts) error {
-	f := w.files[b.job]
-	if f == nil || f.mark != b.mark {
-		fresh, err := w.log.dir.open(b.job, b.mark)
+func (w *writer) write(g *Gathered, now time.Time) error {
+	f := w.files[g.Job]
+	if f == nil || f.mark != g.Mark {
+		fresh, err := w.log.dir.open(g.Job, g.Mark)
 		if err != nil {
 			return err
 		}
@@ -85,25 +42,37 @@
 			f.close()
 		}
 		f = fresh
-		w.files[b.job] = f
+		w.files[g.Job] = f
+		delete(w.removals, nameOf(g.Job, g.Mark))
 	}
 	began := time.Now()
-	written, err := f.append(b.parts)
+	written, err := f.append(g.Parts)
 	if err != nil {
 		return err
 	}
+	f.used = now
 	w.log.stats.sync.UpdateSince(began)
 	w.log.stats.written.Inc(written)
 	if w.onDisk() > mostOnDisk {
 		return errDiskShare
 	}
-	for _, name := range w.log.dir.earlier(b.job, b.mark, f) {
-		delete(w.unclaimed, name)
-		w.log.dir.remove(name)
+	if !f.alone {
+		f.alone = true
+		w.removeOthers(g.Job, g.Mark)
 	}
 	return nil
 }
 
+// removeOthers removes a job's files of other marks.
+func (w *writer) removeOthers(job string, mark int64) {
+	for _, name := range w.log.dir.of(job) {
+		if name != nameOf(job, mark) {
+			delete(w.removals, name)
+			w.log.dir.remove(name)
+		}
+	}
+}
+
 func (w *writer) onDisk() int64 {
 	total := int64(0)
 	for _, f := range w.files {
@@ -112,24 +81,34 @@
 	return total
 }
 
-// fail keeps nothing more of a job whose file cannot be written. What is on disk
-// of it is whole as far as it goes.
-func (w *writer) fail(job string, err error) {
-	w.log.mu.Lock()
-	defer w.log.mu.Unlock()
-	if o := w.log.jobs[job]; o != nil && !o.stopped {
-		w.log.stop(job, o, err.Error())
-	}
-}
-
-func (w *writer) remove(job string) {
+// drop has a job's files removed once the next owner has had time to ask for them.
+func (w *writer) drop(job string, now time.Time) {
 	if f := w.files[job]; f != nil {
 		f.close()
 		delete(w.files, job)
 	}
 	for _, name := range w.log.dir.of(job) {
-		delete(w.unclaimed, name)
-		w.log.dir.remove(name)
+		w.removals[name] = now.Add(keepDropped)
+	}
+}
+
+// closeIdle closes files to which nothing was added for long: copies of other
+// owners' jobs that ended.
+func (w *writer) closeIdle(now time.Time) {
+	for job, f := range w.files {
+		if now.Sub(f.used) > keepIdle {
+			w.log.Gather.Drop(job, f.mark)
+			w.drop(job, now)
+		}
+	}
+}
+
+func (w *writer) removeDue(now time.Time) {
+	for name, at := range w.removals {
+		if now.After(at) {
+			delete(w.removals, name)
+			w.log.dir.remove(name)
+		}
 	}
 }
 
