--- a/internal/batchrun/starts.go
+++ b/internal/batchrun/starts.go
@@ -74,24 +74,23 @@
 	return view
 }
 
-// next returns the item whose step would be whole last, were it to start now.
-// Items that a trainer can do without come after all others.
+// next returns the item that starts next, of whichever job.
 func (r *round) next() (*openJob, batch.Candidate, bool) {
-	var chosen *openJob
-	var item batch.Candidate
-	latest := 0.0
+	var jobs []*openJob
+	var items []batch.Candidate
+	var waiting []schedule.Waiting
 	for i := range r.jobs {
 		job := &r.jobs[i]
-		candidate, found := job.candidate(r.now)
-		if !found {
-			continue
-		}
-		projected := job.view.Projected(candidate.Rest)
-		if chosen == nil || item.Spare && !candidate.Spare || item.Spare == candidate.Spare && projected > latest {
-			chosen, item, latest = job, candidate, projected
+		if item, found := job.candidate(r.now); found {
+			jobs, items = append(jobs, job), append(items, item)
+			waiting = append(waiting, schedule.Waiting{Job: &job.view, Rest: item.Rest, Spare: item.Spare})
 		}
 	}
-	return chosen, item, chosen != nil
+	chosen := schedule.Choose(waiting)
+	if chosen < 0 {
+		return nil, batch.Candidate{}, false
+	}
+	return jobs[chosen], items[chosen], true
 }
 
 func (j *openJob) candidate(now time.Time) (batch.Candidate, bool) {
--- a/internal/policy/batch/write.go
+++ b/internal/policy/batch/write.go
@@ -54,6 +54,9 @@
 	return j.Spec.Due.IsZero() || now.Before(j.Spec.Due.Add(-dueMargin))
 }
 
+// WholeGroups returns how many groups have a result for each of their items.
+func (j *Job) WholeGroups() int { return j.whole }
+
 // lastWritten is when results were last written, or else when the first came.
 func (j *Job) lastWritten() time.Time {
 	if j.written.IsZero() {
--- a/internal/policy/schedule/schedule.go
+++ b/internal/policy/schedule/schedule.go
@@ -100,3 +100,25 @@
 	}
 	return max(leastNarrow, int(math.Ceil(narrowMargin*l.Work/l.Longest/float64(engines))))
 }
+
+// Waiting is the item of one job that should start next.
+type Waiting struct {
+	Job   *Job
+	Rest  float64 // events that its text is expected to have yet
+	Spare bool    // its trainer can do without it
+}
+
+// Choose returns which item of several jobs starts next: the one whose step would
+// be whole last, were it to start now, and only then those that trainers can do
+// without. -1 if there are none.
+func Choose(waiting []Waiting) int {
+	chosen, latest := -1, 0.0
+	for i := range waiting {
+		w := &waiting[i]
+		projected := w.Job.Projected(w.Rest)
+		if chosen < 0 || waiting[chosen].Spare && !w.Spare || waiting[chosen].Spare == w.Spare && projected > latest {
+			chosen, latest = i, projected
+		}
+	}
+	return chosen
+}
--- a/internal/policy/schedule/schedule_test.go
+++ b/internal/policy/schedule/schedule_test.go
@@ -54,3 +54,21 @@
 		Expect(empty.Narrow(9)).To(Equal(2))
 	})
 })
+
+var _ = Describe("the item that starts next", func() {
+	old := &schedule.Job{Age: 4, Pace: 0.035}
+	fresh := &schedule.Job{Age: 0, Pace: 0.035}
+
+	It("is that whose step would be whole last, were it to start now", func() {
+		// A step that is four seconds old waits for 20 events (4.7 s), one that has just
+		// come for 160 (5.6 s); once the long ones run, the older step goes first.
+		Expect(schedule.Choose([]schedule.Waiting{{Job: old, Rest: 20}, {Job: fresh, Rest: 160}})).To(Equal(1))
+		Expect(schedule.Choose([]schedule.Waiting{{Job: old, Rest: 20}, {Job: fresh, Rest: 100}})).To(Equal(0))
+	})
+
+	It("is one that a trainer can do without only if there is no other", func() {
+		Expect(schedule.Choose([]schedule.Waiting{{Job: old, Rest: 160, Spare: true}, {Job: fresh, Rest: 1}})).To(Equal(1))
+		Expect(schedule.Choose([]schedule.Waiting{{Job: old, Rest: 160, Spare: true}, {Job: fresh, Rest: 170, Spare: true}})).To(Equal(0))
+		Expect(schedule.Choose(nil)).To(Equal(-1))
+	})
+})
