Say what a whole step's time consisted of; ask leaving workers for texts too

2122 and the timer batch.step tell, once a step, how long it took, when half and the last of its items began, and which item, engine and number of runs it waited for last: what an operator asks of a trainer that idles.

The spec fails without the change.

--- a/internal/batchrun/commit.go
+++ b/internal/batchrun/commit.go
@@ -152,7 +152,9 @@
 
 func (o *Owner) durable(j *ownedJob, position int, results []batch.Result) {
 	j.mu.Lock()
-	j.job.Durable(time.Now(), position+len(results))
+	now := time.Now()
+	j.job.Durable(now, position+len(results))
+	step, whole := j.job.StepWhole(now)
 	close(j.readers)
 	j.readers = make(chan struct{})
 	finished := j.job.Finished()
@@ -168,11 +170,25 @@
 	for i := range results {
 		o.noteListed(j, position+i, &results[i])
 	}
+	if whole {
+		o.noteStep(j, &step)
+	}
 	if finished {
 		events.JobFinished.Log(o.Log, logrus.Fields{"job": j.id, "items": j.job.Total(), "ms": time.Since(j.job.Spec.Submitted).Milliseconds()})
 	}
 }
 
+// noteStep says what a whole step's time consisted of.
+func (o *Owner) noteStep(j *ownedJob, t *batch.Timeline) {
+	o.stats.step.Update(t.Took)
+	spec := j.job.Spec
+	events.StepWhole.Log(o.Log, logrus.Fields{
+		"job": j.id, "model": spec.Model, "step": spec.Step, "ms": t.Took.Milliseconds(), "half_begun_ms": t.HalfBegun.Milliseconds(),
+		"last_begun_ms": t.LastBegun.Milliseconds(), "request": t.LastItem, "events": t.LastEvents, "began_ms": t.LastBegan.Milliseconds(),
+		"runs": t.LastRuns, "endpoint": t.LastEngine,
+	})
+}
+
 func (o *Owner) noteListed(j *ownedJob, position int, r *batch.Result) {
 	o.stats.listed.Inc(1)
 	o.stats.sample.UpdateSince(j.job.Spec.Submitted)
--- a/internal/batchrun/copies_test.go
+++ b/internal/batchrun/copies_test.go
@@ -97,9 +97,11 @@
 		Eventually(copied(standby)).WithTimeout(patience).Should(Equal(3 * made))
 		Expect(copied(third)()).To(BeZero())
 		release()
+		Expect(standby.register.Leave(context.Background())).To(Succeed())
+		Eventually(func() int { return len(third.members.Owners()) }).WithTimeout(patience).Should(Equal(2))
 		owner.stop()
 		texts := third.desk.AskTexts(context.Background(), "j")
-		Expect(texts).NotTo(BeEmpty())
+		Expect(texts).NotTo(BeEmpty(), "the standby is leaving and still has them")
 	})
 
 	It("are sent again as a whole when a call failed", func() {
--- a/internal/batchrun/desk.go
+++ b/internal/batchrun/desk.go
@@ -294,13 +294,13 @@
 	return d.call(ctx, to, callCopy, 0, args, &struct{}{})
 }
 
-// AskTexts asks the other processes that own jobs for a job's texts, and returns
-// what came until ctx ends.
+// AskTexts asks the other workers for a job's texts, and returns what came until
+// ctx ends. One that is leaving is asked too: it may be who had the job.
 func (d *Desk) AskTexts(ctx context.Context, job string) [][]byte {
-	others := without(d.Members.Owners(), d.Local.Name)
+	others := d.otherWorkers()
 	for len(others) == 0 && ctx.Err() == nil {
 		pause(ctx, askAgain) // this process has just started
-		others = without(d.Members.Owners(), d.Local.Name)
+		others = d.otherWorkers()
 	}
 	answers := make(chan []byte, len(others))
 	for _, other := range others {
@@ -327,6 +327,16 @@
 	return texts
 }
 
+func (d *Desk) otherWorkers() []cluster.Member {
+	var workers []cluster.Member
+	for _, m := range without(d.Members.Live(), d.Local.Name) {
+		if m.Worker {
+			workers = append(workers, m)
+		}
+	}
+	return workers
+}
+
 // tellOwner tells an owner what its watch will tell it as well, only later.
 func (d *Desk) tellOwner(owner, method string, args MarkArgs) {
 	go func() { _ = d.tellMark(owner, method, args) }()
--- a/internal/batchrun/owner.go
+++ b/internal/batchrun/owner.go
@@ -98,6 +98,7 @@
 	kept    metrics.Counter // items that went on from kept texts
 	events  metrics.Counter // of those texts
 	sample  metrics.Timer   // from submission to listing
+	step    metrics.Timer   // from submission until a step is whole
 }
 
 // ownedJob is one job with its lock.
@@ -138,6 +139,7 @@
 		events:  metrics.GetOrRegisterCounter("texts.events", o.Registry),
 		broken:  metrics.GetOrRegisterCounter("batch.runs.broken", o.Registry),
 		sample:  metrics.GetOrRegisterTimer("batch.item", o.Registry),
+		step:    metrics.GetOrRegisterTimer("batch.step", o.Registry),
 	}
 }
 
--- a/internal/batchrun/starts.go
+++ b/internal/batchrun/starts.go
@@ -125,6 +125,9 @@
 		j.blocked = true
 		return
 	}
+	j.mu.Lock()
+	j.job.Started(r.now, c.Index)
+	j.mu.Unlock()
 	r.owner.runs.Go(func() error { r.owner.run(j.ownedJob, start, pick); return nil })
 }
 
--- a/internal/events/fleet.go
+++ b/internal/events/fleet.go
@@ -34,6 +34,7 @@
 	TextsStopped   = define(2119, logrus.WarnLevel, "texts of a batch job are not kept on disk")
 	TextRecordBad  = define(2120, logrus.WarnLevel, "part of a file of texts cannot be used")
 	TextsNotCopied = define(2121, logrus.InfoLevel, "new events of texts did not reach the standby process")
+	StepWhole      = define(2122, logrus.InfoLevel, "step of a trainer is whole")
 	JobSwept       = define(2116, logrus.InfoLevel, "old batch job removed from the store")
 	ReadFailed     = define(2114, logrus.WarnLevel, "results of a batch job could not be read")
 )
--- a/internal/policy/batch/batch_test.go
+++ b/internal/policy/batch/batch_test.go
@@ -125,6 +125,35 @@
 		Expect(j.WriteDue(spec.Due.Add(-400 * time.Millisecond))).To(BeTrue())
 	})
 
+	It("says once what a whole step's time consisted of", func() {
+		// Four items of two groups, both waited for. The last to end began late and was
+		// moved once: that is what an operator asks of a trainer that idles.
+		spec := spec(4)
+		spec.WantGroups = 2
+		j := batch.NewJob(spec, nil)
+		run := func(began, ended time.Duration, how batch.RunEnd) {
+			s := begin(j, start.Add(began))
+			j.Started(start.Add(began), s.Index)
+			write(j, s.Index, s.After+1, s.After+1, 3)
+			j.Ended(start.Add(ended), s.Index, how, "e")
+		}
+		run(0, time.Second, batch.RunComplete)
+		run(0, time.Second, batch.RunComplete)
+		run(0, time.Second, batch.RunComplete)
+		_, whole := j.StepWhole(start.Add(time.Second))
+		Expect(whole).To(BeFalse())
+		run(2*time.Second, 3*time.Second, batch.RunMoved)
+		run(3*time.Second, 5*time.Second, batch.RunComplete)
+		t, whole := j.StepWhole(start.Add(5 * time.Second))
+		Expect(whole).To(BeTrue())
+		Expect(t).To(Equal(batch.Timeline{
+			Took: 5 * time.Second, HalfBegun: 0, LastBegun: 2 * time.Second,
+			LastItem: "i3", LastEvents: 2, LastBegan: 2 * time.Second, LastRuns: 2, LastEngine: "e",
+		}))
+		_, again := j.StepWhole(start.Add(6 * time.Second))
+		Expect(again).To(BeFalse())
+	})
+
 	It("takes no event out of order, twice, or of weights that are too old", func() {
 		j := batch.NewJob(spec(1), nil)
 		s := begin(j, start)
--- a/internal/policy/batch/job.go
+++ b/internal/policy/batch/job.go
@@ -32,11 +32,13 @@
 	scoreFails    int      // answers that its scoring failed
 	text          [][]byte // data of the events so far
 	lastEvent     int64
-	versions      []int64 // that generated an event, in order of appearance
-	eventVersions []int64 // that generated the event at the same place of the text
-	rest          float64 // events that are expected yet
-	lastAt        string  // engine of the last run
-	scoreAt       string  // endpoint of the last score
+	versions      []int64   // that generated an event, in order of appearance
+	eventVersions []int64   // that generated the event at the same place of the text
+	rest          float64   // events that are expected yet
+	lastAt        string    // engine of the last run
+	firstRun      time.Time // when its first run began
+	runs          int
+	scoreAt       string // endpoint of the last score
 }
 
 // Job is a batch job under way. It is not safe for concurrent use.
@@ -56,6 +58,7 @@
 	left           int       // items that are not ended
 	whole          int       // groups without an item that is not ended
 	closed         bool
+	noted          bool // that the step is whole
 }
 
 type group struct {
