--- a/internal/batchrun/loads.go
+++ b/internal/batchrun/loads.go
@@ -22,6 +22,9 @@
 	// tellSize and shareSize are about the bytes of a message and of each endpoint
 	// in it.
 	tellSize, shareSize = 120, 24
+	// mostTold bounds what one round of messages holds. Beyond it rounds would be
+	// further apart than what was told counts, and nothing is told.
+	mostTold = tellRate * int(loadLife/time.Second)
 	// loadLife is how long a fellow's load counts.
 	loadLife = time.Second
 	// tellLimit bounds a call; the next one tells all anew.
@@ -118,8 +121,13 @@
 		}
 		told[name] = busy
 		args := LoadArgs{From: o.Name, Service: name, Load: load, Shares: shares}
-		for _, fellow := range o.Fellows(service.Models) {
-			bytes += tellSize + shareSize*len(shares)
+		fellows := o.Fellows(service.Models)
+		size := tellSize + shareSize*len(shares)
+		if len(fellows)*size > mostTold {
+			continue
+		}
+		for _, fellow := range fellows {
+			bytes += size
 			group.Go(func() error {
 				ctx, cancel := context.WithTimeout(ctx, tellLimit)
 				defer cancel()
--- a/internal/mechanism/mechanism_test.go
+++ b/internal/mechanism/mechanism_test.go
@@ -51,3 +51,13 @@
 		Expect(switches.On(mechanism.Hedges)).To(BeTrue())
 	})
 })
+
+var _ = Describe("the operators' page", func() {
+	It("names every mechanism", func() {
+		page, err := os.ReadFile("../../docs/operators/mechanisms.md")
+		Expect(err).NotTo(HaveOccurred())
+		for _, m := range mechanism.All() {
+			Expect(string(page)).To(ContainSubstring("| `"+string(m)+"` |"))
+		}
+	})
+})
