--- a/internal/mechanism/mechanism_test.go
+++ b/internal/mechanism/mechanism_test.go
@@ -57,7 +57,7 @@
 		page, err := os.ReadFile("../../docs/operators/mechanisms.md")
 		Expect(err).NotTo(HaveOccurred())
 		for _, m := range mechanism.All() {
-			Expect(string(page)).To(ContainSubstring("| `"+string(m)+"` |"))
+			Expect(string(page)).To(ContainSubstring("| `" + string(m) + "` |"))
 		}
 	})
 })
