--- a/internal/batchrun/adopt.go
+++ b/internal/batchrun/adopt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
@@ -163,9 +162,6 @@
 		o.stats.events.Inc(int64(made))
 		events.TextsRecovered.Log(o.Log, logrus.Fields{"job": owned.id, "mark": owned.mark, "items": items, "events": made})
 	}
-	if o.Switches.On(mechanism.Leftovers) {
-		items += o.left.Give(time.Now(), owned.job)
-	}
 	o.sinks().begin(owned)
 	return items
 }
--- a/internal/batchrun/owner.go
+++ b/internal/batchrun/owner.go
@@ -81,7 +81,6 @@
 	jobs   map[string]*ownedJob
 	claims map[string]int64 // revision of the mark being loaded, by job
 	ended  *endedJobs
-	left   *batch.Leftovers
 	seen   map[string]*sharedLengths // by model
 	loads  loads
 	wake   chan struct{}
@@ -122,7 +121,6 @@
 	o.jobs = map[string]*ownedJob{}
 	o.claims = map[string]int64{}
 	o.ended = newEndedJobs(o.Keep)
-	o.left = batch.NewLeftovers()
 	o.seen = map[string]*sharedLengths{}
 	o.wake = make(chan struct{}, 1)
 	o.back = make(chan struct{})
@@ -203,8 +201,7 @@
 	events.JobDropped.Log(o.Log, logrus.Fields{"job": id, "mark": owned.mark, "revision": revision})
 }
 
-// retire stops a job's runs and keeps what is of use of it: its texts for the
-// next job, and its results for readers unless a write was under way. Then only
+// retire stops a job's runs and keeps its results for readers unless a write was under way. Then only
 // the store knows which results will ever be durable. The owner's lock is held.
 func (o *Owner) retire(j *ownedJob) {
 	now := time.Now()
@@ -214,7 +211,6 @@
 	j.cancel()
 	close(j.readers)
 	j.readers = make(chan struct{})
-	o.left.Keep(now, j.job)
 	o.Texts.Drop(j.id, j.mark)
 	o.Copier.drop(j.id, j.mark)
 	if !j.sent {
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -42,8 +42,6 @@
 	ShareLoad Mechanism = "share-load"
 	// LearnLengths learns how long texts turn out against their estimates.
 	LearnLengths Mechanism = "learn-lengths"
-	// Leftovers goes on with texts of ended jobs whose items return.
-	Leftovers Mechanism = "leftovers"
 	// WholeSteps writes results when their step is whole.
 	WholeSteps Mechanism = "whole-steps"
 	// TextJournal keeps texts under way on the machine's disk.
@@ -66,7 +64,7 @@
 func All() []Mechanism {
 	all := []Mechanism{
 		Hedges, SetAside, OwnPreference, NearFirst, MoveSlow, MoveCrowded, LongestFirst, SpareLast, ByDelay, KeepNarrow, ShareLoad,
-		LearnLengths, Leftovers, WholeSteps, TextJournal, TextCopies, CacheResults, ReadNear, AlternateLoads, TellLoads, Relay,
+		LearnLengths, WholeSteps, TextJournal, TextCopies, CacheResults, ReadNear, AlternateLoads, TellLoads, Relay,
 	}
 	sort.Slice(all, func(i, j int) bool { return all[i] < all[j] })
 	return all
--- a/internal/policy/batch/texts.go
+++ b/internal/policy/batch/texts.go
@@ -158,3 +158,11 @@
 	}
 	return seen
 }
+
+// acceptsVersions tells whether a text that these weights generated may be used.
+func (j *Job) acceptsVersions(versions []int64) bool {
+	if j.Spec.SingleVersion && len(versions) > 1 {
+		return false
+	}
+	return !slices.ContainsFunc(versions, func(v int64) bool { return v < j.Spec.MinVersion })
+}
