Take no worker for silent whose reader left

Found in reading the change: a read by way of the worker beside an entry ends with its reader, and the entry then took the worker for silent and gave it no jobs for five seconds. The spec fails without the change.

--- a/internal/batchrun/hub.go
+++ b/internal/batchrun/hub.go
@@ -78,13 +78,12 @@
 	if !found {
 		return Reading{}, false, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+hubSlack)
+	limited, cancel := context.WithTimeout(ctx, wait+hubSlack)
 	defer cancel()
 	var reply ResultsReply
 	member, _ := d.Members.Get(name)
-	if err := d.Peers.Call(ctx, member.Address, callResults, ResultsArgs{Job: id, From: from, Wait: wait}, &reply); err != nil {
-		var answered rpc.ServerError // of an older release, which has no such call
-		if !errors.As(err, &answered) {
+	if err := d.Peers.Call(limited, member.Address, callResults, ResultsArgs{Job: id, From: from, Wait: wait}, &reply); err != nil {
+		if ctx.Err() == nil && isSilence(err) {
 			d.distrust(name)
 		}
 		return Reading{}, false, nil
@@ -97,3 +96,10 @@
 	}
 	return reply.Reading, true, nil
 }
+
+// isSilence tells whether a call failed as the other side did not answer. One of
+// an older release answers that it has no such call.
+func isSilence(err error) bool {
+	var answered rpc.ServerError
+	return !errors.As(err, &answered)
+}
--- a/internal/batchrun/hub_test.go
+++ b/internal/batchrun/hub_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -14,6 +15,7 @@
 var _ = Describe("reads by way of a worker in the same failure domain", func() {
 	var store *standin.Shared
 	var far, near, entry *process
+	var llm *engines
 
 	// in puts a process into a failure domain.
 	in := func(domain string, worker bool, p *process) *process {
@@ -24,7 +26,7 @@
 
 	BeforeEach(func() {
 		store = standin.NewShared()
-		llm := &engines{sent: map[string]int{}}
+		llm = &engines{sent: map[string]int{}}
 		far = in("a", true, newProcess("far", store, llm)).run()
 		Eventually(func() int { return len(far.members.Live()) }).WithTimeout(patience).Should(Equal(1))
 		Expect(far.desk.Submit(context.Background(), spec("j", 3))).To(Succeed())
@@ -58,6 +60,21 @@
 		checkResults(all)
 	})
 
+	It("do not count against the worker when the reader leaves", func() {
+		// A reader waits for results at the worker beside its entry and leaves. The
+		// worker is well; were it taken for silent, no job would go to it for seconds.
+		llm.mu.Lock()
+		llm.hold = make(chan struct{})
+		llm.mu.Unlock()
+		Expect(entry.desk.Submit(context.Background(), spec("h", 1))).To(Succeed())
+		ctx, leave := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer leave()
+		_, _ = entry.desk.Results(ctx, "h", 0, time.Second)
+		Expect(ctx.Err()).To(HaveOccurred(), "nothing was there to be read")
+		Expect(entry.desk.Distrusted("near")).To(BeFalse())
+		close(llm.hold)
+	})
+
 	It("say that there is no job only if the store says so", func() {
 		_, err := entry.desk.Results(context.Background(), "none", 0, 0)
 		Expect(err).To(MatchError(batchrun.ErrNoJob))
