Load a model on no more engines than its steps can use

Ruled out: repeated orders (none refused); loads for texts under way (they go on under the new version). Change: a model's engines are at most those of which its step's items fill a quarter of the places. Deployments of 20 to 45 engines need all of them for their steps and are as before.

--- a/internal/modelrun/modelrun.go
+++ b/internal/modelrun/modelrun.go
@@ -160,7 +160,7 @@
 func (r *Runner) next(service string, models []string, seen []directory.Seen) []modelplan.Order {
 	engines := make([]modelplan.Engine, len(seen))
 	for i, e := range seen {
-		engines[i] = modelplan.Engine{ID: e.ID, Born: e.Born, Leaving: e.Leaving, Load: e.InFlight, Versions: e.Versions}
+		engines[i] = modelplan.Engine{ID: e.ID, Born: e.Born, Leaving: e.Leaving, Load: e.InFlight, Slots: e.Slots, Versions: e.Versions}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/policy/modelplan/modelplan.go
+++ b/internal/policy/modelplan/modelplan.go
@@ -9,8 +9,9 @@
 // first items always find half of its engines free of loads.
 //
 // Loads are few: a quarter of a service's engines may load at once, for about a
-// second each. Each model gets engines by its share of the items, and the model
-// whose ready engines are fewest for its share loads first.
+// second each. Each model gets engines by its share of the items, but no more than
+// its steps can use, and the model whose ready engines are fewest for its share
+// loads first.
 package modelplan
 
 import (
@@ -41,6 +42,11 @@
 	// fewestEngines is how many engines carry a model, whatever its share: one
 	// more than a crash may take.
 	fewestEngines = 2
+	// filled is the share of its places that a model's engine is expected to use when
+	// a step comes. Where there are engines enough for less, more of them would not
+	// make the step faster: half load at the next version, so those that serve it are
+	// half full, and its longest texts are placed beside few others.
+	filled = 0.25
 	// itemsWeight is the share of a new step in the running mean of a model's items.
 	itemsWeight = 0.5
 	// stride is every how many versions an engine loads where steps accept the
@@ -57,6 +63,7 @@
 	Born     int64
 	Leaving  bool
 	Load     int              // requests in flight, as far as known
+	Slots    int              // requests that it runs at once
 	Versions map[string]int64 // weight version by model
 }
 
@@ -243,7 +250,7 @@
 	if models == 0 {
 		return carried
 	}
-	quota := p.quotas(len(live))
+	quota := p.quotas(live)
 	type pair struct {
 		engine int
 		model  string
@@ -275,20 +282,38 @@
 	return carried
 }
 
-// quotas gives each model its number of engines, by its share of the items.
-func (p *Planner) quotas(engines int) map[string]int {
+// quotas gives each model its number of engines, by its share of the items. A
+// service of thousands of engines would otherwise load each version on half of
+// them for a step of a hundred items.
+func (p *Planner) quotas(live []Engine) map[string]int {
 	total := 0.0
 	for _, model := range p.models {
 		total += max(1, p.items[model])
 	}
+	places := meanSlots(live)
 	quota := map[string]int{}
 	for _, model := range p.models {
-		share := carriedShare * float64(engines) * max(1, p.items[model]) / total
-		quota[model] = min(engines, max(fewestEngines, int(math.Round(share))))
+		share := carriedShare * float64(len(live)) * max(1, p.items[model]) / total
+		if items := p.items[model]; items > 0 { // otherwise no step was seen yet
+			share = min(share, math.Ceil(items/(filled*places)))
+		}
+		quota[model] = min(len(live), max(fewestEngines, int(math.Round(share))))
 	}
 	return quota
 }
 
+// meanSlots returns the mean of the engines' slots, at least 1.
+func meanSlots(engines []Engine) float64 {
+	slots := 0
+	for _, e := range engines {
+		slots += e.Slots
+	}
+	if len(engines) == 0 {
+		return 1
+	}
+	return max(1, float64(slots)/float64(len(engines)))
+}
+
 // due returns the engine that should load the model's newest version next: one
 // that can do nothing for the newest step, or else one of the half that follows
 // this version.
--- a/internal/policy/modelplan/modelplan_test.go
+++ b/internal/policy/modelplan/modelplan_test.go
@@ -90,6 +90,32 @@
 		Expect(f.orders).To(BeNumerically("<=", 77), "14 carried places, half of them at each of 9 versions, and the first version on all")
 	})
 
+	It("loads as many engines as steps can use where there are thousands", func() {
+		// 3,000 engines of six places, and two trainers with steps of 96 and 176 items
+		// every 4 s. With a share of all engines for each model half of the service is
+		// ordered to each version: 2,400 orders and more for steps that 180 engines run
+		// a quarter full. Every step finds engines for two items each all the same.
+		f := newFleet(3000, "polite", "firm")
+		for i := range f.engines {
+			f.engines[i].Slots = 6
+		}
+		p := modelplan.New([]string{"firm", "polite"})
+		const versions = 6
+		for k := int64(1); k <= versions; k++ {
+			p.Name(f.now, "polite", k)
+			p.Name(f.now, "firm", k)
+			p.Need("polite", k-1, 96)
+			p.Need("firm", k-1, 176)
+			if k > 3 {
+				Expect(f.ready("polite", k-1)).To(BeNumerically(">=", 96/2/2), "step %d", k)
+				Expect(f.ready("firm", k-1)).To(BeNumerically(">=", 176/2/2), "step %d", k)
+			}
+			f.run(p, 4*time.Second)
+		}
+		const asked = (96 + 176) * 4 / 6 // places for four times the items
+		Expect(f.orders).To(BeNumerically("<=", asked*versions), "each engine at each version at the most")
+	})
+
 	It("loads every engine of a model where steps need the newest version", func() {
 		f := newFleet(4, "m")
 		p := modelplan.New([]string{"m"})
