--- a/internal/batchrun/adopt.go
+++ b/internal/batchrun/adopt.go
@@ -27,9 +27,14 @@
 // watch of its marks. The watch repeats the same revision, which changes nothing.
 func (o *Owner) told(args MarkArgs) {
 	raw, err := encode(todoMark{Fresh: !args.Begun})
-	if err != nil || o.lifetime == nil {
+	if err != nil {
 		return
 	}
+	select {
+	case <-o.running:
+	default:
+		return // the marks are listed once it runs
+	}
 	mark := kv.Record{Key: todoKey(o.Name, args.Job), Value: raw, Revision: args.Revision}
 	go o.adopt(o.lifetime, mark)
 }
--- a/internal/batchrun/commit.go
+++ b/internal/batchrun/commit.go
@@ -43,6 +43,7 @@
 		}
 		j.written = time.Now()
 		written, err := o.writeChunk(j, c.position, c.results)
+		o.noteWrite(j, c, err)
 		if err == nil {
 			o.durable(j, c.position, c.results[:written])
 			continue
@@ -50,7 +51,6 @@
 		if errors.Is(err, kv.ErrUnavailable) && !c.unsettled {
 			j.settle()
 		}
-		events.ResultsDelayed.Log(o.Log, logrus.Fields{"job": j.id, "position": c.position, "results": len(c.results), "error": err.Error()})
 		if errors.Is(err, errNotOwner) {
 			o.drop(j.id, j.mark)
 			o.runs.Go(func() error { o.remark(o.lifetime, j.id, j.mark); return nil })
@@ -60,6 +60,35 @@
 	}
 }
 
+// failedWrites are a job's writes that failed in a row.
+type failedWrites struct {
+	n     int
+	since time.Time
+	why   string // of the last line
+}
+
+// noteWrite writes a line when writes of a job begin to fail, fail for another
+// reason, and succeed again; an outage of the store would otherwise give four lines
+// a second for each job.
+func (o *Owner) noteWrite(j *ownedJob, c chunk, err error) {
+	f := &j.failing
+	if err == nil {
+		if f.n > 0 {
+			events.ResultsBack.Log(o.Log, logrus.Fields{"job": j.id, "position": c.position, "failed": f.n, "ms": time.Since(f.since).Milliseconds()})
+		}
+		*f = failedWrites{}
+		return
+	}
+	if f.n == 0 {
+		f.since = time.Now()
+	}
+	f.n++
+	if why := err.Error(); why != f.why {
+		f.why = why
+		events.ResultsDelayed.Log(o.Log, logrus.Fields{"job": j.id, "position": c.position, "results": len(c.results), "error": why})
+	}
+}
+
 // chunk is what one write holds.
 type chunk struct {
 	position  int
--- a/internal/batchrun/fakes_test.go
+++ b/internal/batchrun/fakes_test.go
@@ -251,7 +251,9 @@
 	Expect(p.desk.Register(p.server)).To(Succeed())
 	ctx, cancel := context.WithCancel(context.Background())
 	var done sync.WaitGroup
-	for _, part := range []func(context.Context) error{p.owner.Run, p.register.Run, (&cluster.Follower{Store: p.store, Topic: p.register.Topic()}).Run} {
+	marks := &cluster.Follower{Store: p.store, Topic: p.owner.Marks(), Wait: batchrun.MarksWait}
+	members := &cluster.Follower{Store: p.store, Topic: p.register.Topic()}
+	for _, part := range []func(context.Context) error{p.owner.Run, p.register.Run, members.Run, marks.Run} {
 		done.Go(func() {
 			defer GinkgoRecover()
 			Expect(part(ctx)).To(Succeed())
--- a/internal/batchrun/owner.go
+++ b/internal/batchrun/owner.go
@@ -31,12 +31,12 @@
 	// makes its group whole, as a straggler's does, is written at once; readers poll
 	// twice a second, and at this pace a job costs at most four writes a second.
 	gatherResults = 250 * time.Millisecond
-	// marksWait is how long the watch of the marks waits. Who accepts, ends or moves
+	// MarksWait is how long a watch of the marks waits. Who accepts, ends or moves
 	// a job tells its owner by a call; the watch is for calls that did not come
 	// through, as from an entry that is cut off from every worker. Its changes come
 	// at once, but what a deaf store kept from it is found when it asks anew: items of
 	// a job whose end was acknowledged have three seconds to stop.
-	marksWait = 2 * time.Second
+	MarksWait = 2 * time.Second
 	// retryWrite is the pause after a write that failed.
 	retryWrite = 200 * time.Millisecond
 )
@@ -71,11 +71,7 @@
 	// there to own them; nil: never.
 	Spared func() bool
 	// Adopted is called with each job taken on; may be nil.
-	Adopted func(*batch.Spec)
-	// The store's state as the follower of the marks sees it; may be nil.
-	Lost func(error)
-	Back func()
-
+	Adopted  func(*batch.Spec)
 	lifetime context.Context // of Run
 
 	mu     sync.Mutex
@@ -89,6 +85,8 @@
 	runs   errgroup.Group
 	stats  stats
 
+	running chan struct{} // closed once Run has begun
+
 	surveyed atomic.Pointer[schedule.Load] // of all open jobs when they were last looked at; nil: never
 }
 
@@ -115,8 +113,9 @@
 	job     *batch.Job
 	readers chan struct{} // closed and replaced when results become durable
 	writing bool
-	sent    bool      // a write is under way at the store, or its outcome is not known
-	written time.Time // of the last write; only its writer uses it
+	sent    bool         // a write is under way at the store, or its outcome is not known
+	written time.Time    // of the last write; only its writer uses it
+	failing failedWrites // only its writer uses them
 }
 
 // Init prepares the owner; it must be called before anything else.
@@ -127,6 +126,7 @@
 	o.seen = map[string]*sharedLengths{}
 	o.wake = make(chan struct{}, 1)
 	o.back = make(chan struct{})
+	o.running = make(chan struct{})
 	o.Copier = newCopier(o.Registry)
 	o.Copier.Owner = o
 	if o.Retry == 0 {
@@ -165,17 +165,7 @@
 func (o *Owner) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	o.lifetime = ctx
-	var listed atomic.Bool
-	marks := &cluster.Follower{Store: o.Store, Failed: o.Lost, Recovered: o.Back, Wait: marksWait, Idle: o.idle, Topic: &cluster.Topic{
-		Prefix: todoPrefix(o.Name),
-		Changed: func(r kv.Record) {
-			afterStart := listed.Load() // of the record, not of the goroutine that takes it in
-			group.Go(func() error { o.marked(ctx, r, afterStart); return nil })
-		},
-		Deleted: func(key string, revision int64) { o.drop(jobOfTodo(key), revision) },
-		Synced:  func() { listed.Store(true) },
-	}}
-	group.Go(func() error { return marks.Run(ctx) })
+	close(o.running)
 	group.Go(func() error { return o.dispatch(ctx) })
 	group.Go(func() error { return o.Texts.Run(ctx) })
 	group.Go(func() error { return o.Copier.run(ctx) })
@@ -183,6 +173,25 @@
 	return group.Wait()
 }
 
+// Marks returns the topic of the marks that name this process. Whoever follows it
+// need not wait for Run.
+func (o *Owner) Marks() *cluster.Topic {
+	listed := false
+	return &cluster.Topic{
+		Prefix: todoPrefix(o.Name), Carrier: MarksPrefix, Idle: o.idle,
+		Changed: func(r kv.Record) {
+			afterStart := listed // of the record, not of the goroutine that takes it in
+			o.runs.Go(func() error {
+				<-o.running
+				o.marked(o.lifetime, r, afterStart)
+				return nil
+			})
+		},
+		Deleted: func(key string, revision int64) { o.drop(jobOfTodo(key), revision) },
+		Synced:  func() { listed = true },
+	}
+}
+
 // idle tells whether the marks need not be watched.
 func (o *Owner) idle() bool {
 	return o.Spared != nil && o.Spared() && len(o.Jobs()) == 0
--- a/internal/batchrun/records.go
+++ b/internal/batchrun/records.go
@@ -22,10 +22,13 @@
 	"siskinloom.example/siskinloom/internal/policy/batch"
 )
 
+// MarksPrefix is the prefix of the marks of all owners.
+const MarksPrefix = "todo/"
+
 const (
 	prefixJobs = "jobs/"
 	prefixSpec = "spec/"
-	prefixTodo = "todo/"
+	prefixTodo = MarksPrefix
 	prefixDone = "done/"
 )
 
@@ -45,6 +48,19 @@
 	ErrCannotTell = errors.New("batchrun: neither owner nor store answers")
 )
 
+// NotRunError tells the caller of a call that certainly had no effect, or could not be
+// answered, when to come back.
+type NotRunError struct {
+	RetryAfter time.Duration
+	Err        error
+}
+
+// Error implements error.
+func (e *NotRunError) Error() string { return e.Err.Error() }
+
+// Unwrap returns ErrNotRun or ErrCannotTell with its cause.
+func (e *NotRunError) Unwrap() error { return e.Err }
+
 // jobRecord is the value of jobs/ID.
 type jobRecord struct {
 	Owner     string
--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -95,6 +95,27 @@
 		Eventually(v.now).WithTimeout(patience).Should(Equal(map[string]string{"p/b": "1", "p/c": "1", "p/d": "1", "p/e": "2"}))
 	})
 
+	It("tells a part of the prefix to whom it concerns", func() {
+		// A scout follows the marks of all owners for the others, and its own with them.
+		store := standin.NewShared()
+		put(store, "p/self/a", "1")
+		put(store, "p/other/a", "1")
+		whole, part := &view{}, &view{}
+		all, own := whole.topic("p/"), part.topic("p/self/")
+		synced := make(chan struct{})
+		own.Synced = func() { close(synced) }
+		all.Part = own
+		start((&cluster.Follower{Store: store, Topic: all}).Run)
+		Eventually(synced).WithTimeout(patience).Should(BeClosed())
+		Expect(part.now()).To(Equal(map[string]string{"p/self/a": "1"}))
+		put(store, "p/self/b", "2")
+		put(store, "p/other/b", "2")
+		store.Revoke("p/self/a")
+		Eventually(part.now).WithTimeout(patience).Should(Equal(map[string]string{"p/self/b": "2"}))
+		Eventually(whole.now).WithTimeout(patience).Should(HaveLen(3))
+		Expect(own.AsOf()).To(BeNumerically(">", 0), "it can be gone on with by itself")
+	})
+
 	It("finds what a deaf watch missed before history was dropped", func() {
 		// The store does not tell waiting watches of a change and drops its history.
 		// No later change comes that would have the watch answered; the declaration
@@ -148,12 +169,8 @@
 
 func newWorker(store kv.Shared, boot int64) *worker {
 	w := &worker{relay: cluster.NewRelay(boot)}
-	w.relay.Carry("p/", 0)
-	topic := &cluster.Topic{Prefix: "p/",
-		Changed: func(r kv.Record) { w.relay.Put("p/", kv.Change{Record: r}) },
-		Deleted: func(key string, revision int64) {
-			w.relay.Put("p/", kv.Change{Record: kv.Record{Key: key, Revision: revision}, Deleted: true})
-		}}
+	w.relay.Carry("p/", 0, 0, func(r kv.Record) string { return string(r.Value) })
+	topic := &cluster.Topic{Prefix: "p/", Relay: w.relay}
 	server := rpc.NewServer()
 	Expect(w.relay.Register(server)).To(Succeed())
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -177,6 +194,7 @@
 	var sources []string
 	var topic *cluster.Topic
 
+	firstStart := false
 	subscribe := func(own kv.Shared, workers ...*worker) {
 		registrar := cluster.NewRegistrar(store, cluster.Member{Name: "self"}, time.Hour, members, silent())
 		start((&cluster.Follower{Store: store, Topic: registrar.Topic()}).Run)
@@ -187,7 +205,7 @@
 		}
 		Eventually(func() int { return len(members.Live()) }).WithTimeout(patience).Should(Equal(len(workers)))
 		s := &cluster.Subscriber{
-			Store: own, Topics: []*cluster.Topic{topic}, Members: members, Peers: rpcpool.New(nil), Self: cluster.Member{Name: "self"},
+			Store: own, Topics: []*cluster.Topic{topic}, Members: members, Peers: rpcpool.New(nil), Self: cluster.Member{Name: "self"}, FirstStart: firstStart,
 			Source: func(name string, _ error) {
 				mu.Lock()
 				defer mu.Unlock()
@@ -198,7 +216,7 @@
 	}
 
 	BeforeEach(func() {
-		store, members, v, sources = standin.NewShared(), cluster.NewMembers(), &view{}, nil
+		store, members, v, sources, firstStart = standin.NewShared(), cluster.NewMembers(), &view{}, nil, false
 		topic = v.topic("p/")
 		put(store, "p/a", "1")
 	})
@@ -216,6 +234,57 @@
 		Expect(own.count()).To(Equal(before))
 	})
 
+	It("tell a process of the parts that it needs, and of all of a part once it needs it", func() {
+		// Entries need few services. Of the others they hear nothing, until a
+		// declaration sends requests there: then all that stands, not only what changes.
+		put(store, "p/app", "app")
+		put(store, "p/llm", "llm")
+		needed := []string{"app"}
+		topic.Scopes = func() ([]string, bool) {
+			mu.Lock()
+			defer mu.Unlock()
+			return needed, true
+		}
+		firstStart = true // nothing is listed but the members
+		subscribe(store, newWorker(store, 1))
+		Eventually(v.now).WithTimeout(patience).Should(Equal(map[string]string{"p/app": "app"}))
+		put(store, "p/llm2", "llm")
+		put(store, "p/app2", "app")
+		Eventually(v.now).WithTimeout(patience).Should(Equal(map[string]string{"p/app": "app", "p/app2": "app"}))
+		mu.Lock()
+		needed = []string{"app", "llm"}
+		mu.Unlock()
+		Eventually(v.now).WithTimeout(patience).Should(HaveLen(4))
+	})
+
+	It("are waited for while the whole system starts, with no call to the store", func() {
+		// Each of hundreds of processes listed everything two or three times in its
+		// first second, as the scouts were not registered yet.
+		firstStart = true
+		own := &counting{Shared: store}
+		subscribe(own, newWorker(store, 1))
+		Eventually(v.now).WithTimeout(patience).Should(HaveKey("p/a"))
+		Expect(own.count()).To(BeZero())
+	})
+
+	It("end an outage with no listing, and begin it with few calls of each process", func() {
+		// The store answers nobody for some seconds. Every process used to try every
+		// topic again and again meanwhile, and to list all of them afterwards.
+		cut := &cuttable{Shared: store}
+		own := &counting{Shared: cut}
+		subscribe(own, newWorker(cut, 1))
+		Eventually(v.now).WithTimeout(patience).Should(HaveKey("p/a"))
+		Eventually(own.settled).WithTimeout(patience).Should(BeTrue())
+		before, listed := own.count(), own.listings()
+		cut.cut(true)
+		Eventually(func() int { return own.count() - before }).WithTimeout(patience).Should(BeNumerically(">=", 3))
+		Expect(own.listings()).To(Equal(listed))
+		cut.cut(false)
+		put(store, "p/b", "2")
+		Eventually(v.now).WithTimeout(patience).Should(HaveKey("p/b"))
+		Expect(own.listings()).To(Equal(listed))
+	})
+
 	It("come from the store at once when a process starts beside scouts that are as dead", func() {
 		// What the caller sees: all processes were killed and start again. Scouts are
 		// still registered and do not answer yet; an entry that waited for them refused
@@ -269,9 +338,16 @@
 	kv.Shared
 	mu    sync.Mutex
 	calls int
+	pages int // of them, listings
 	last  time.Time
 }
 
+func (c *counting) listings() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pages
+}
+
 func (c *counting) note() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -294,6 +370,9 @@
 
 func (c *counting) ReadPage(ctx context.Context, prefix, after string) (kv.Page, error) {
 	c.note()
+	c.mu.Lock()
+	c.pages++
+	c.mu.Unlock()
 	return c.Shared.ReadPage(ctx, prefix, after)
 }
 
--- a/internal/cluster/follow.go
+++ b/internal/cluster/follow.go
@@ -34,7 +34,8 @@
 	idleLook = time.Second
 )
 
-// Follower follows one prefix of the store.
+// Follower follows one prefix of the store, from where its topic stands. While
+// the topic is idle it makes no calls.
 type Follower struct {
 	Store kv.Shared
 	Topic *Topic
@@ -43,11 +44,8 @@
 	// Gather is how long changes are gathered after some came, so that a crowd of
 	// them makes few calls.
 	Gather time.Duration
-	// Idle tells that changes are of no use now; the follower then makes no calls,
-	// and goes on from where it stood. nil: never.
-	Idle func() bool
 	// Heard is called after each call that succeeded, with the revision up to
-	// which everything was told; may be nil.
+	// which everything was told, before changes are gathered; may be nil.
 	Heard func(asOf int64)
 	// Failed is called when a call fails, Recovered when one succeeds again.
 	Failed    func(error)
@@ -59,18 +57,24 @@
 // Run follows the prefix until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	pause := firstRetry
-	asOf := int64(-1)
-	var gone time.Time // when history was last found gone
+	asOf := f.Topic.AsOf()
+	wait := time.Duration(0) // the first answer tells whether the store answers at all
+	var gone time.Time       // when history was last found gone
 	for ctx.Err() == nil {
-		next, err := f.step(ctx, asOf)
+		next, changed, err := f.step(ctx, asOf, wait)
 		if err == nil {
+			wait = max(f.Wait, watchWait)
 			asOf = next
 			pause = firstRetry
 			f.fine(asOf)
+			if changed {
+				sleep(ctx, f.Gather)
+			}
 			continue
 		}
+		wait = 0 // a store that is back is noticed by its first answer, not when a watch ends
 		if errors.Is(err, kv.ErrHistoryGone) {
-			asOf = -1
+			asOf = 0
 			sleep(ctx, goneAgain-time.Since(gone))
 			gone = time.Now()
 			continue
@@ -82,25 +86,39 @@
 	return nil
 }
 
-func (f *Follower) step(ctx context.Context, asOf int64) (int64, error) {
-	if asOf < 0 {
-		return f.list(ctx)
+// once makes one call, which may wait for so long.
+func (f *Follower) once(ctx context.Context, wait time.Duration) error {
+	_, _, err := f.step(ctx, f.Topic.AsOf(), wait)
+	if errors.Is(err, kv.ErrHistoryGone) {
+		f.Topic.restart()
+		return nil
 	}
-	if f.Idle != nil && f.Idle() {
+	if err != nil {
+		f.failed(ctx, err)
+	}
+	return err
+}
+
+// step makes one call; changed tells that a watch told something.
+func (f *Follower) step(ctx context.Context, asOf int64, wait time.Duration) (next int64, changed bool, err error) {
+	switch {
+	case f.Topic.idle():
 		sleep(ctx, idleLook)
-		return asOf, nil
+		return asOf, false, nil
+	case asOf <= 0:
+		next, err = f.list(ctx)
+		return next, false, err
 	}
-	changes, err := f.Store.Await(ctx, f.Topic.Prefix, asOf, max(f.Wait, watchWait))
+	changes, err := f.Store.Await(ctx, f.Topic.Prefix, asOf, wait)
 	if err != nil {
-		return 0, err
+		return 0, false, err
 	}
 	for _, c := range changes.Changes {
 		f.Topic.tell(c)
 	}
-	if len(changes.Changes) > 0 && f.Gather > 0 {
-		sleep(ctx, f.Gather)
-	}
-	return max(asOf, changes.AsOf), nil
+	asOf = max(asOf, changes.AsOf)
+	f.Topic.reached(asOf)
+	return asOf, len(changes.Changes) > 0, nil
 }
 
 func (f *Follower) list(ctx context.Context) (int64, error) {
--- a/internal/cluster/members.go
+++ b/internal/cluster/members.go
@@ -161,6 +161,7 @@
 	proven   time.Time     // the store last confirmed the lease, counted from the call's start
 	listed   bool          // the registration was seen in the list, and not its end
 	again    chan struct{} // the registration must be made anew
+	synced   bool          // the first list was told; only the topic uses it
 }
 
 // NewRegistrar returns a registrar that has not registered yet.
@@ -170,7 +171,25 @@
 
 // Topic returns the topic that keeps the members up to date.
 func (r *Registrar) Topic() *Topic {
-	return &Topic{Prefix: prefixLive, Changed: r.changed, Deleted: r.deleted}
+	return &Topic{Prefix: prefixLive, Changed: r.changed, Deleted: r.deleted, Synced: r.listedAll}
+}
+
+// listedAll notes that a list was taken in. The first one gets one line: with a line
+// for each of hundreds of processes at each of them, a start of the system or the
+// end of an outage was all that the logs told of.
+func (r *Registrar) listedAll() {
+	if r.synced {
+		return
+	}
+	r.synced = true
+	workers := 0
+	live := r.Members.Live()
+	for _, m := range live {
+		if m.Worker {
+			workers++
+		}
+	}
+	events.MembersTaken.Log(r.Log, logrus.Fields{"members": len(live), "workers": workers})
 }
 
 func (r *Registrar) changed(record kv.Record) {
@@ -186,6 +205,9 @@
 	if member.Name == r.Self.Name {
 		r.setListed(true)
 	}
+	if !r.synced {
+		return
+	}
 	events.MemberListed.Log(r.Log, logrus.Fields{"member": member.Name, "leaving": member.Leaving, "revision": record.Revision})
 }
 
--- a/internal/cluster/relay.go
+++ b/internal/cluster/relay.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"siskinloom.example/siskinloom/internal/kv"
+	"siskinloom.example/siskinloom/internal/policy/news"
 )
 
 // Names of the calls between processes.
@@ -30,78 +31,79 @@
 // calls to the store grow with the few processes that follow it and not with
 // all. It is safe for concurrent use.
 type Relay struct {
-	boot int64 // names this process's numbering
-
 	mu     sync.Mutex
-	seq    int64
-	topics map[string]*relayed
+	topics *news.Topics[kv.Change]
+	scopes map[string]func(kv.Record) string // by topic
+	told   news.Position                     // of which followers were woken
 	wake   chan struct{}
 }
 
-type relayed struct {
-	fresh time.Duration // how long after the store's last word
-	asOf  int64
-	heard time.Time
-	keys  map[string]relayedKey
-}
-
-type relayedKey struct {
-	change kv.Change
-	seq    int64
-}
-
 // NewRelay returns a relay without topics; boot names its numbering.
 func NewRelay(boot int64) *Relay {
-	return &Relay{boot: boot, topics: map[string]*relayed{}, wake: make(chan struct{})}
+	return &Relay{topics: news.NewTopics[kv.Change](boot), scopes: map[string]func(kv.Record) string{}, wake: make(chan struct{})}
+}
+
+// Carry has the relay carry a topic whose watch waits for so long, 0 standing for
+// the shortest, and whose changes are gathered between two watches. scope says
+// which part of it a record belongs to; nil: there are no parts.
+func (r *Relay) Carry(prefix string, wait, gather time.Duration, scope func(kv.Record) string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.topics.Carry(prefix, gather+max(wait, watchWait)+freshSlack)
+	r.scopes[prefix] = scope
 }
 
-// Carry has the relay carry a topic whose watch waits for so long; 0 stands for
-// the shortest.
-func (r *Relay) Carry(prefix string, wait time.Duration) {
+// put takes in a change of a topic's key.
+func (r *Relay) put(prefix string, c kv.Change) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.topics[prefix] = &relayed{fresh: max(wait, watchWait) + freshSlack, keys: map[string]relayedKey{}}
+	change := news.Change[kv.Change]{Key: c.Record.Key, Revision: c.Record.Revision, Gone: c.Deleted, Payload: c}
+	if scope := r.scopes[prefix]; scope != nil && !c.Deleted {
+		change.Scope = scope(c.Record)
+	}
+	r.topics.Get(prefix).Put(change)
 }
 
-// Put takes in a change of a topic's key.
-func (r *Relay) Put(prefix string, c kv.Change) {
+// listed notes that a topic was listed in full.
+func (r *Relay) listed(prefix string, asOf int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.seq++
-	r.topics[prefix].keys[c.Record.Key] = relayedKey{change: c, seq: r.seq}
-	close(r.wake)
-	r.wake = make(chan struct{})
+	r.topics.Get(prefix).Listed(asOf)
 }
 
-// Heard notes that the store answered, with everything told up to a revision.
+// Heard notes that the store answered, with everything told up to a revision, and
+// wakes the followers if there is anything new: once for all changes of an answer.
 func (r *Relay) Heard(prefix string, asOf int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	t := r.topics[prefix]
-	t.asOf = max(t.asOf, asOf)
-	t.heard = time.Now()
+	r.topics.Get(prefix).Heard(time.Now(), asOf)
+	if r.told != r.topics.Now() {
+		r.told = r.topics.Now()
+		close(r.wake)
+		r.wake = make(chan struct{})
+	}
 }
 
 // NewsArgs asks for what has changed since an earlier answer.
 type NewsArgs struct {
-	Boot int64 // of the numbering that Seq belongs to
-	Seq  int64
-	Wait time.Duration
+	Position  news.Position // after the answer before, of whichever process
+	Interests []news.Interest
+	Wait      time.Duration
 }
 
 // NewsReply is the answer.
 type NewsReply struct {
-	Stale  bool // this process has not heard from the store lately
-	Full   bool // Topics holds everything, not only changes
-	Boot   int64
-	Seq    int64
-	Topics map[string]TopicNews
+	Stale    bool // this process has not heard from the store lately
+	Position news.Position
+	Topics   map[string]TopicNews // by prefix, of all interests
 }
 
 // TopicNews are the changes of one topic.
 type TopicNews struct {
+	Full    bool // Changes and Stands are all keys that stand; others have gone
 	AsOf    int64
 	Changes []kv.Change
+	Stands  []string // keys that are as the follower knows them, if Full
 }
 
 // Register offers the relay to other processes.
@@ -122,11 +124,12 @@
 	deadline := time.Now().Add(min(args.Wait, relayWait))
 	for {
 		r.mu.Lock()
-		reply, wake := r.answer(args), r.wake
-		fresh := r.freshFor(time.Now())
+		fresh := r.topics.FreshFor(time.Now(), args.Interests)
+		reply, any := r.answer(args, fresh)
+		wake := r.wake
 		r.mu.Unlock()
 		wait := min(time.Until(deadline), fresh)
-		if reply.Stale || reply.Full || len(reply.Topics) > 0 || wait <= 0 {
+		if reply.Stale || any || wait <= 0 {
 			return reply
 		}
 		timer := time.NewTimer(wait)
@@ -138,32 +141,17 @@
 	}
 }
 
-// freshFor returns how long the relay may still pass news on.
-func (r *Relay) freshFor(now time.Time) time.Duration {
-	least := relayWait
-	for _, t := range r.topics {
-		least = min(least, t.fresh-now.Sub(t.heard))
-	}
-	return least
-}
-
-func (r *Relay) answer(args NewsArgs) NewsReply {
-	reply := NewsReply{Boot: r.boot, Seq: r.seq, Topics: map[string]TopicNews{}}
-	if r.freshFor(time.Now()) <= 0 {
-		reply.Stale = true
-		return reply
+// answer returns what a follower should be told, and whether there is anything.
+func (r *Relay) answer(args NewsArgs, fresh time.Duration) (reply NewsReply, any bool) {
+	if fresh <= 0 {
+		return NewsReply{Stale: true}, false
 	}
-	reply.Full = args.Boot != r.boot
-	for prefix, t := range r.topics {
-		news := TopicNews{AsOf: t.asOf}
-		for _, k := range t.keys {
-			if reply.Full && !k.change.Deleted || !reply.Full && k.seq > args.Seq {
-				news.Changes = append(news.Changes, k.change)
-			}
-		}
-		if reply.Full || len(news.Changes) > 0 {
-			reply.Topics[prefix] = news
-		}
+	reply = NewsReply{Position: r.topics.Now(), Topics: make(map[string]TopicNews, len(args.Interests))}
+	for i := range args.Interests {
+		interest := &args.Interests[i]
+		n := r.topics.Get(interest.Prefix).After(args.Position, interest)
+		reply.Topics[interest.Prefix] = TopicNews(n)
+		any = any || n.Full || len(n.Changes) > 0
 	}
-	return reply
+	return reply, any
 }
--- a/internal/cluster/subscribe.go
+++ b/internal/cluster/subscribe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"time"
 
@@ -9,23 +10,26 @@
 	"golang.org/x/sync/errgroup"
 
 	"siskinloom.example/siskinloom/internal/kv"
+	"siskinloom.example/siskinloom/internal/policy/news"
 	"siskinloom.example/siskinloom/internal/policy/rendezvous"
 	"siskinloom.example/siskinloom/internal/rpcpool"
 )
 
 const (
-	// directSpell is how long news are taken from the store itself once no scout
-	// has fresh ones, before the scouts are asked again.
-	directSpell = time.Second
-	// directGather is how long changes are gathered then: every process of the
-	// system may be asking.
-	directGather = 300 * time.Millisecond
 	// scoutsStart is how long after its own start a process waits for scouts that
-	// have just started as well, asking them every askAgainEvery.
+	// have just started as well, asking them every askAgainEvery and listing the
+	// members anew at every third time.
 	scoutsStart   = 2500 * time.Millisecond
-	askAgainEvery = 500 * time.Millisecond
-	// newsSlack is how much longer than its own wait a call for news may take.
-	newsSlack = 500 * time.Millisecond
+	askAgainEvery = 300 * time.Millisecond
+	listEvery     = 3
+	// fleetStart is how long a process waits when the whole system starts for the
+	// first time: by then all are registered, and one listing names the scouts.
+	// Nobody calls yet.
+	fleetStart = 800 * time.Millisecond
+	// newsSlack is how much longer than its own wait a call for news may take, and
+	// wholeSlack the first call of a process, which is answered with whole listings.
+	newsSlack  = 500 * time.Millisecond
+	wholeSlack = 2 * time.Second
 )
 
 var errStaleNews = errors.New("cluster: scout has not heard from the store lately")
@@ -38,28 +42,42 @@
 	Members *Members
 	Peers   *rpcpool.Pool
 	Self    Member
+	// FirstStart tells that the whole system starts for the first time.
+	FirstStart bool
 	// Failed and Recovered tell of the store where it is followed directly.
 	Failed    func(error)
 	Recovered func()
+	// Served is called with each answer of a scout that hears from the store; may be
+	// nil.
+	Served func()
+	// CutOff is called when all scouts answer that they do not hear from the store; may
+	// be nil.
+	CutOff func()
 	// Source is told where news come from from now on; may be nil.
 	Source func(name string, why error)
 	// Known is set once everything was told, from whatever source: a later Run
 	// then begins with the scouts.
 	Known bool
+
+	broken   bool // the store failed when it was last asked
+	position news.Position
+	scopes   map[*Topic][]string // parts that were told of each topic
 }
 
 // Run keeps the topics up to date until ctx ends.
 func (s *Subscriber) Run(ctx context.Context) error {
 	s.start(ctx)
 	began := time.Now()
-	for ctx.Err() == nil {
+	for try := 1; ctx.Err() == nil; try++ {
 		s.fromScouts(ctx)
 		switch {
 		case ctx.Err() != nil:
 		case !s.Known && time.Since(began) < scoutsStart:
 			// The scouts have just started as well and may not be registered yet.
 			sleep(ctx, askAgainEvery)
-			s.list(ctx, func(t *Topic) bool { return t.Prefix == prefixLive })
+			if try%listEvery == 0 {
+				s.list(ctx, isMembers)
+			}
 		default:
 			s.direct(ctx)
 		}
@@ -67,6 +85,8 @@
 	return nil
 }
 
+func isMembers(t *Topic) bool { return t.Prefix == prefixLive }
+
 // start lists the members, and everything else if others are registered: callers
 // may be waiting then, and a scout that is listed may be as dead as this process
 // was until now. When the whole system starts there is nobody yet; what scouts
@@ -75,10 +95,16 @@
 	if s.Known {
 		return
 	}
-	s.list(ctx, func(t *Topic) bool { return t.Prefix == prefixLive })
+	if s.FirstStart {
+		sleep(ctx, fleetStart)
+	}
+	s.list(ctx, isMembers)
+	if s.FirstStart {
+		return
+	}
 	for _, m := range s.Members.Live() {
 		if m.Name != s.Self.Name {
-			s.list(ctx, func(t *Topic) bool { return t.Prefix != prefixLive })
+			s.list(ctx, func(t *Topic) bool { return !isMembers(t) && !t.idle() })
 			return
 		}
 	}
@@ -104,28 +130,67 @@
 	}
 }
 
-// direct follows the store itself for a spell.
+// direct asks the store itself once for each topic, from where it stands. In an
+// outage of the store no scout has fresh news either: one call then tells that, as
+// hundreds of processes each tried every topic again and again, and listed all of
+// them when the store was back.
 func (s *Subscriber) direct(ctx context.Context) {
 	s.note("store", nil)
-	spell, cancel := context.WithTimeout(ctx, directSpell)
-	defer cancel()
+	if !s.round(ctx, 0, isMembers) {
+		sleep(ctx, askAgainEvery)
+		return
+	}
+	s.round(ctx, watchWait, func(*Topic) bool { return true })
+}
+
+// round makes one call for each of some topics, and tells whether all succeeded.
+func (s *Subscriber) round(ctx context.Context, wait time.Duration, which func(*Topic) bool) bool {
 	var group errgroup.Group
 	for _, topic := range s.Topics {
-		f := &Follower{Store: s.Store, Topic: topic, Gather: directGather, Failed: s.Failed, Recovered: s.Recovered}
-		group.Go(func() error { return f.Run(spell) })
+		if !which(topic) {
+			continue
+		}
+		s.widen(topic)
+		f := &Follower{Store: s.Store, Topic: topic, Failed: s.Failed}
+		group.Go(func() error { return f.once(ctx, wait) })
+	}
+	err := group.Wait()
+	if err == nil && s.broken && s.Recovered != nil {
+		s.Recovered()
+	}
+	s.broken = err != nil
+	return err == nil
+}
+
+// widen has a topic be listed anew, with all its parts, if some are needed that
+// were not told.
+func (s *Subscriber) widen(topic *Topic) {
+	if topic.Scopes == nil {
+		return
+	}
+	if needed, known := topic.Scopes(); known && !covers(s.scopes[topic], needed) {
+		topic.restart()
+		delete(s.scopes, topic)
 	}
-	_ = group.Wait() // followers end with their context and return no error
 }
 
 // fromScouts takes news from one scout after the other until none has any.
 func (s *Subscriber) fromScouts(ctx context.Context) {
-	for _, scout := range s.scouts() {
+	scouts := s.scouts()
+	stale := 0
+	for _, scout := range scouts {
 		err := s.follow(ctx, scout)
 		if ctx.Err() != nil {
 			return
 		}
+		if errors.Is(err, errStaleNews) {
+			stale++
+		}
 		s.note(scout.Name, err)
 	}
+	if stale > 0 && stale == len(scouts) && s.CutOff != nil {
+		s.CutOff()
+	}
 }
 
 // scouts lists the scouts, the one in this process's failure domain first.
@@ -150,20 +215,25 @@
 }
 
 // follow takes a scout's news until it fails or has none that are fresh. The
-// first call does not wait, so that a dead scout costs newsSlack only.
+// first call does not wait, so that a dead scout costs its slack only.
 func (s *Subscriber) follow(ctx context.Context, scout Member) error {
-	args := NewsArgs{}
+	wait := time.Duration(0)
 	for ctx.Err() == nil {
-		reply, err := s.ask(ctx, scout.Address, args)
+		interests, asked := s.interests()
+		reply, err := s.ask(ctx, scout.Address, NewsArgs{Position: s.position, Interests: interests, Wait: wait})
 		switch {
 		case err != nil:
 			return err
 		case reply.Stale:
 			return errStaleNews
 		}
-		s.take(reply)
-		s.Known = true
-		args = NewsArgs{Boot: reply.Boot, Seq: reply.Seq, Wait: relayWait}
+		s.take(reply, asked)
+		s.position = reply.Position
+		if s.Served != nil {
+			s.Served()
+		}
+		s.Known = s.Known || len(asked) == len(s.Topics)
+		wait = relayWait
 		if current, listed := s.Members.Get(scout.Name); !listed || current.Leaving {
 			return errors.New("cluster: scout leaves")
 		}
@@ -171,8 +241,51 @@
 	return nil
 }
 
+// interests returns what is to be asked for, with the topics that it covers and
+// their parts. A topic of which more parts are needed than before is asked for as
+// a whole; one whose parts are not known yet is left out.
+func (s *Subscriber) interests() ([]news.Interest, map[*Topic][]string) {
+	var interests []news.Interest
+	asked := map[*Topic][]string{}
+	for _, t := range s.Topics {
+		interest := news.Interest{Prefix: t.carrier(), AsOf: t.AsOf()}
+		if t.Carrier != "" {
+			interest.Only = t.Prefix
+		}
+		if t.Scopes != nil {
+			scopes, known := t.Scopes()
+			if !known {
+				continue
+			}
+			interest.Scopes = scopes
+			if !covers(s.scopes[t], scopes) {
+				interest.AsOf = 0
+			}
+		}
+		asked[t] = interest.Scopes
+		interests = append(interests, interest)
+	}
+	return interests, asked
+}
+
+// covers tells whether what was told of some parts holds all that is needed; nil
+// stands for all parts.
+func covers(told, needed []string) bool {
+	switch {
+	case told == nil:
+		return true
+	case needed == nil:
+		return false
+	}
+	return !slices.ContainsFunc(needed, func(scope string) bool { return !slices.Contains(told, scope) })
+}
+
 func (s *Subscriber) ask(ctx context.Context, address string, args NewsArgs) (NewsReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, args.Wait+newsSlack)
+	slack := newsSlack
+	if slices.ContainsFunc(args.Interests, func(i news.Interest) bool { return i.AsOf == 0 }) {
+		slack = wholeSlack
+	}
+	ctx, cancel := context.WithTimeout(ctx, args.Wait+slack)
 	defer cancel()
 	var reply NewsReply
 	if err := s.Peers.Call(ctx, address, callNews, args, &reply); err != nil {
@@ -181,23 +294,26 @@
 	return reply, nil
 }
 
-func (s *Subscriber) take(reply NewsReply) {
-	for _, topic := range s.Topics {
-		news, found := reply.Topics[topic.Prefix]
-		if !found {
-			continue
-		}
-		if !reply.Full {
-			for _, c := range news.Changes {
+// take takes in an answer to what was asked.
+func (s *Subscriber) take(reply NewsReply, asked map[*Topic][]string) {
+	if s.scopes == nil {
+		s.scopes = map[*Topic][]string{}
+	}
+	for topic, scopes := range asked {
+		told := reply.Topics[topic.carrier()]
+		if told.Full {
+			page := kv.Page{AsOf: told.AsOf}
+			for _, c := range told.Changes {
+				page.Records = append(page.Records, c.Record)
+			}
+			topic.listing(page, told.Stands...)
+		} else {
+			for _, c := range told.Changes {
 				topic.tell(c)
 			}
-			continue
-		}
-		page := kv.Page{AsOf: news.AsOf}
-		for _, c := range news.Changes {
-			page.Records = append(page.Records, c.Record)
+			topic.reached(told.AsOf)
 		}
-		topic.listing(page)
+		s.scopes[topic] = scopes
 	}
 }
 
--- a/internal/cluster/topic.go
+++ b/internal/cluster/topic.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"strings"
 	"sync"
 
 	"siskinloom.example/siskinloom/internal/kv"
@@ -15,18 +16,42 @@
 // concurrent use; its functions are called one at a time.
 type Topic struct {
 	Prefix string
+	// Carrier is the prefix of the relays' topic that this one is a part of; empty:
+	// its own prefix.
+	Carrier string
 	// Changed is called with each record as it stands, Deleted with each key that
 	// went.
 	Changed func(kv.Record)
 	Deleted func(key string, revision int64)
 	// Synced is called after each listing was told in full; may be nil.
 	Synced func()
+	// Scopes names the parts of the topic that this process needs, nil for all, and
+	// whether it knows them yet; a nil function stands for all.
+	Scopes func() (scopes []string, known bool)
+	// Idle tells that changes are of no use now; may be nil.
+	Idle func() bool
+	// Relay takes in all that is told, for other processes; may be nil.
+	Relay *Relay
+	// Part is told what concerns its prefix, which lies within this topic's; may be
+	// nil.
+	Part *Topic
 
 	mu    sync.Mutex
 	known map[string]int64 // revision by key
 	gone  map[string]int64 // revision at which a key went
+	asOf  int64            // everything up to it was told; 0: unknown
 }
 
+// carrier returns the prefix under which relays carry the topic.
+func (t *Topic) carrier() string {
+	if t.Carrier != "" {
+		return t.Carrier
+	}
+	return t.Prefix
+}
+
+func (t *Topic) idle() bool { return t.Idle != nil && t.Idle() }
+
 func (t *Topic) init() {
 	if t.known == nil {
 		t.known = map[string]int64{}
@@ -36,12 +61,39 @@
 	}
 }
 
+// AsOf returns the revision up to which everything was told; 0: unknown.
+func (t *Topic) AsOf() int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.asOf
+}
+
+// restart has the topic be listed anew.
+func (t *Topic) restart() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.asOf = 0
+}
+
+// reached notes that everything up to a revision was told.
+func (t *Topic) reached(asOf int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.asOf = max(t.asOf, asOf)
+	if t.Part != nil {
+		t.Part.reached(asOf)
+	}
+}
+
 // tell passes a change on unless a newer one of its key was told.
 func (t *Topic) tell(c kv.Change) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.init()
 	t.tellLocked(c)
+	if t.Part != nil && strings.HasPrefix(c.Record.Key, t.Part.Prefix) {
+		t.Part.tell(c)
+	}
 }
 
 func (t *Topic) tellLocked(c kv.Change) {
@@ -49,24 +101,34 @@
 	if r.Revision <= t.known[r.Key] || r.Revision <= t.gone[r.Key] {
 		return
 	}
+	if t.Relay != nil {
+		t.Relay.put(t.Prefix, c)
+	}
 	if c.Deleted {
 		delete(t.known, r.Key)
 		t.gone[r.Key] = r.Revision
-		t.Deleted(r.Key, r.Revision)
+		if t.Deleted != nil {
+			t.Deleted(r.Key, r.Revision)
+		}
 		return
 	}
 	delete(t.gone, r.Key)
 	t.known[r.Key] = r.Revision
-	t.Changed(r)
+	if t.Changed != nil {
+		t.Changed(r)
+	}
 }
 
 // listing tells a whole listing: keys that it lacks have gone, unless they are
-// newer than the listing.
-func (t *Topic) listing(page kv.Page) {
+// newer than the listing. stands names keys of it that are as they were told.
+func (t *Topic) listing(page kv.Page, stands ...string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.init()
-	present := make(map[string]bool, len(page.Records))
+	present := make(map[string]bool, len(page.Records)+len(stands))
+	for _, key := range stands {
+		present[key] = true
+	}
 	for _, r := range page.Records {
 		present[r.Key] = true
 		t.tellLocked(kv.Change{Record: r})
@@ -76,7 +138,25 @@
 			t.tellLocked(kv.Change{Record: kv.Record{Key: key, Revision: max(page.AsOf, revision+1)}, Deleted: true})
 		}
 	}
+	t.asOf = max(t.asOf, page.AsOf)
+	if t.Relay != nil {
+		t.Relay.listed(t.Prefix, page.AsOf)
+	}
 	if t.Synced != nil {
 		t.Synced()
 	}
+	if t.Part != nil {
+		t.Part.listing(partOf(page, t.Part.Prefix))
+	}
+}
+
+// partOf returns a listing's records under a prefix.
+func partOf(page kv.Page, prefix string) kv.Page {
+	part := kv.Page{AsOf: page.AsOf}
+	for _, r := range page.Records {
+		if strings.HasPrefix(r.Key, prefix) {
+			part.Records = append(part.Records, r)
+		}
+	}
+	return part
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -274,6 +274,19 @@
 	return list
 }
 
+// Counts returns how many endpoints each service has.
+func (d *Directory) Counts() map[string]int {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	counts := make(map[string]int, len(d.services))
+	for name, s := range d.services {
+		s.mu.Lock()
+		counts[name] = len(s.set.All())
+		s.mu.Unlock()
+	}
+	return counts
+}
+
 // Soonest returns how long until an endpoint of the service may be tried again;
 // 0 if one may now or none is known.
 func (d *Directory) Soonest(service string, now time.Time) time.Duration {
--- a/internal/events/fleet.go
+++ b/internal/events/fleet.go
@@ -35,6 +35,8 @@
 	TextRecordBad  = define(2120, logrus.WarnLevel, "part of a file of texts cannot be used")
 	TextsNotCopied = define(2121, logrus.InfoLevel, "new events of texts did not reach the standby process")
 	StepWhole      = define(2122, logrus.InfoLevel, "step of a trainer is whole")
+	ResultsBack    = define(2123, logrus.InfoLevel, "results are written again")
+	JobsNotMoved   = define(2124, logrus.WarnLevel, "jobs of a process that is gone could not be moved")
 	JobSwept       = define(2116, logrus.InfoLevel, "old batch job removed from the store")
 	ReadFailed     = define(2114, logrus.WarnLevel, "results of a batch job could not be read")
 )
@@ -57,6 +59,8 @@
 	StoreByOther     = define(2215, logrus.WarnLevel, "store is reached by way of another process")
 	StoreDirect      = define(2216, logrus.InfoLevel, "store is reached directly again")
 	NewsFrom         = define(2214, logrus.InfoLevel, "news of the fleet come from another source")
+	EndpointsTaken   = define(2217, logrus.InfoLevel, "first list of endpoints taken in")
+	MembersTaken     = define(2218, logrus.InfoLevel, "first list of the system's processes taken in")
 	RetireDone       = define(2213, logrus.InfoLevel, "this machine is empty")
 )
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -55,6 +55,7 @@
 	MinTTL        time.Duration // shortest lease that the store grants
 	DataDir       string        // folder on the machine's own disk; empty: it has none
 	KeepResults   time.Duration // how long results stay readable after submission
+	FirstStart    bool          // the whole system starts for the first time
 }
 
 // Parts are what an adapter needs to serve callers.
@@ -102,7 +103,7 @@
 // entryTTL times as long as a worker's is the lease of an entry's registration:
 // entries own jobs only when no worker is left, so nothing waits for one to
 // lapse, and each renewal is a call.
-const entryTTL = 4
+const entryTTL = 10
 
 // Node is one running process.
 type Node struct {
@@ -125,7 +126,8 @@
 	trouble   storeTrouble
 
 	lingering lingering
-	listed    atomic.Bool // the endpoints are known
+	listed    atomic.Bool  // the endpoints are known
+	newest    atomic.Int64 // revision of the newest endpoint's entry; its topic writes it
 	stopping  atomic.Bool
 }
 
@@ -157,7 +159,7 @@
 	}
 	n.registrar = cluster.NewRegistrar(a.Store, self, ttl, n.members, log)
 	n.registrar.Unsettled = n.trouble.recent
-	n.owner = &batchrun.Owner{Name: s.ID, Store: a.Store, Directory: n.directory, Sender: a.Sender, Log: log, Keep: s.KeepResults, Registry: registry, Switches: switches, Lost: n.storeFailed, Back: n.storeBack}
+	n.owner = &batchrun.Owner{Name: s.ID, Store: a.Store, Directory: n.directory, Sender: a.Sender, Log: log, Keep: s.KeepResults, Registry: registry, Switches: switches}
 	if s.DataDir != "" {
 		n.owner.Texts = textlog.New(filepath.Join(s.DataDir, "texts"), log, registry)
 	}
@@ -172,6 +174,7 @@
 	}
 	n.owner.Certain = n.registrar.Certain
 	n.store.Returned = n.owner.StoreBack
+	n.store.Urgent = func() bool { return n.isScout() || len(n.owner.Jobs()) > 0 }
 	n.owner.Spared = n.spared
 	n.owner.Adopted = func(spec *batch.Spec) {
 		modelrun.Tell(context.Background(), n.members, peers, modelrun.NeedArgs{Model: spec.Model, Version: spec.MinVersion, Items: len(spec.Items)})
--- a/internal/node/views.go
+++ b/internal/node/views.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -10,7 +11,9 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
+	"siskinloom.example/siskinloom/internal/batchrun"
 	"siskinloom.example/siskinloom/internal/cluster"
+	"siskinloom.example/siskinloom/internal/deployment"
 	"siskinloom.example/siskinloom/internal/events"
 	"siskinloom.example/siskinloom/internal/kv"
 )
@@ -63,6 +66,10 @@
 // call. An endpoint that leaves is left alone two seconds later at the latest.
 const gatherList = 300 * time.Millisecond
 
+// gatherMarks is how long changes of marks are gathered: owners are told of them by
+// calls as well, and those of a step come together.
+const gatherMarks = 200 * time.Millisecond
+
 // scoutLook is how often a worker looks whether it is a scout. A scout that is
 // gone is missed by the others at once, as they ask the next one.
 const scoutLook = 500 * time.Millisecond
@@ -72,17 +79,73 @@
 func (n *Node) follow(ctx context.Context, group *errgroup.Group) {
 	keys := n.adapter.Keys
 	operator := &cluster.Topic{Prefix: keys.Operator, Changed: func(r kv.Record) { n.operatorWrote(ctx, group, r) }, Deleted: func(string, int64) {}}
-	endpoints := &cluster.Topic{Prefix: keys.Endpoints, Changed: n.endpointListed, Deleted: n.endpointGone, Synced: func() { n.listed.Store(true) }}
+	endpoints := &cluster.Topic{Prefix: keys.Endpoints, Changed: n.endpointListed, Deleted: n.endpointGone, Synced: n.endpointsListed}
 	members := n.registrar.Topic()
 	if n.settings.Worker {
 		n.registrar.Gone = func(name string) {
 			group.Go(func() error { n.mover.MemberGone(ctx, name); return nil })
 		}
 	}
-	v := &views{node: n, topics: []followed{{n.relayed(operator, 0), 0, 0}, {n.relayed(endpoints, 0), 0, gatherList}, {n.relayed(members, membersWait), membersWait, gatherList}}}
+	marks := n.owner.Marks()
+	v := &views{node: n, own: []*cluster.Topic{operator, endpoints, members, marks}}
+	if n.relay != nil {
+		all := &cluster.Topic{Prefix: batchrun.MarksPrefix, Part: marks}
+		v.carried = []followed{{operator, 0, 0}, {endpoints, 0, gatherList}, {members, membersWait, gatherList}, {all, batchrun.MarksWait, gatherMarks}}
+		n.carry(v.carried)
+	} else {
+		endpoints.Scopes = n.neededServices
+	}
 	group.Go(func() error { return v.run(ctx) })
 }
 
+// carry has the relay carry what this process follows as a scout.
+func (n *Node) carry(topics []followed) {
+	for _, f := range topics {
+		var scope func(kv.Record) string
+		if f.topic.Prefix == n.adapter.Keys.Endpoints {
+			scope = n.serviceOf
+		}
+		n.relay.Carry(f.topic.Prefix, f.wait, f.gather, scope)
+		f.topic.Relay = n.relay
+	}
+}
+
+// serviceOf returns the service of a listed endpoint, or nothing if its entry
+// cannot be read: whoever is told of it finds that out.
+func (n *Node) serviceOf(r kv.Record) string {
+	endpoint, err := n.adapter.Keys.Endpoint(r.Key, r.Value)
+	if err != nil {
+		return ""
+	}
+	return endpoint.Service
+}
+
+// neededServices returns the services whose endpoints this process sends requests
+// to, nil for all, and whether the routes are known yet. Items of batch jobs are run
+// by their owners: the endpoints of their services are many and change with every
+// load of weights, and each change went to every entry of the fleet.
+func (n *Node) neededServices() (services []string, known bool) {
+	table := n.directory.Table()
+	switch {
+	case table == nil:
+		return nil, false
+	case !n.spared():
+		return nil, true
+	}
+	services = []string{}
+	for i := range table.Declaration.Routes {
+		route := &table.Declaration.Routes[i]
+		if route.Kind == deployment.Rollout {
+			continue
+		}
+		for _, backend := range route.Backends {
+			services = append(services, backend.Service)
+		}
+	}
+	slices.Sort(services)
+	return slices.Compact(services), true
+}
+
 // followed is a topic with the wait of its watch and the time for which its
 // changes are gathered.
 type followed struct {
@@ -93,18 +156,16 @@
 
 // views keeps a process's topics up to date, as a scout or from the scouts.
 type views struct {
-	node   *Node
-	topics []followed
+	node    *Node
+	own     []*cluster.Topic // what this process needs
+	carried []followed       // what it follows as a scout; none where it cannot be one
 }
 
 func (v *views) run(ctx context.Context) error {
 	n := v.node
 	s := &cluster.Subscriber{
-		Store: n.adapter.Store, Members: n.members, Peers: n.desk.Peers, Self: n.registrar.Self,
-		Failed: n.storeFailed, Recovered: n.storeBack, Source: n.newsFrom,
-	}
-	for _, f := range v.topics {
-		s.Topics = append(s.Topics, f.topic)
+		Store: n.adapter.Store, Topics: v.own, Members: n.members, Peers: n.desk.Peers, Self: n.registrar.Self, FirstStart: n.settings.FirstStart,
+		Failed: n.storeFailed, Recovered: n.storeBack, Served: n.store.MayBeBack, CutOff: n.store.PeersCutOff, Source: n.newsFrom,
 	}
 	for ctx.Err() == nil {
 		scout := n.isScout()
@@ -157,7 +218,7 @@
 func (v *views) scout(ctx context.Context) {
 	n := v.node
 	var group errgroup.Group
-	for _, t := range v.topics {
+	for _, t := range v.carried {
 		f := &cluster.Follower{
 			Store: n.adapter.Store, Topic: t.topic, Wait: t.wait, Gather: t.gather, Failed: n.storeFailed, Recovered: n.storeBack,
 			Heard: func(asOf int64) { n.relay.Heard(t.topic.Prefix, asOf) },
@@ -167,24 +228,6 @@
 	_ = group.Wait() // followers end with their context and return no error
 }
 
-// relayed returns the topic with its changes also kept for other processes.
-func (n *Node) relayed(t *cluster.Topic, wait time.Duration) *cluster.Topic {
-	if n.relay == nil {
-		return t
-	}
-	n.relay.Carry(t.Prefix, wait)
-	return &cluster.Topic{Prefix: t.Prefix, Synced: t.Synced,
-		Changed: func(r kv.Record) {
-			n.relay.Put(t.Prefix, kv.Change{Record: r})
-			t.Changed(r)
-		},
-		Deleted: func(key string, revision int64) {
-			n.relay.Put(t.Prefix, kv.Change{Record: kv.Record{Key: key, Revision: revision}, Deleted: true})
-			t.Deleted(key, revision)
-		},
-	}
-}
-
 func (n *Node) newsFrom(name string, why error) {
 	fields := logrus.Fields{"source": name}
 	if why != nil {
@@ -238,13 +281,26 @@
 	}
 	n.lingering.end(endpoint.ID)
 	n.directory.Put(endpoint)
+	n.newest.Store(max(n.newest.Load(), r.Revision))
 	event := events.EndpointListed
-	if endpoint.Leaving {
+	switch {
+	case endpoint.Leaving:
 		event = events.EndpointLeaving
+	case !n.listed.Load():
+		return // the first list gets one line
 	}
 	event.Log(n.log, logrus.Fields{"endpoint": endpoint.ID, "service": endpoint.Service, "address": endpoint.Address, "versions": endpoint.Versions, "revision": r.Revision})
 }
 
+// endpointsListed notes that a list of the endpoints was taken in, whose number and
+// newest revision its line tells; a line for each of a thousand at each process would
+// hide all else that a start has to tell.
+func (n *Node) endpointsListed() {
+	if !n.listed.Swap(true) {
+		events.EndpointsTaken.Log(n.log, logrus.Fields{"endpoints": n.directory.Counts(), "revision": n.newest.Load()})
+	}
+}
+
 func (n *Node) endpointGone(key string, revision int64) {
 	id := strings.TrimPrefix(key, n.adapter.Keys.Endpoints)
 	unsettled := n.trouble.recent()
--- a/internal/policy/storepath/path.go
+++ b/internal/policy/storepath/path.go
@@ -32,6 +32,7 @@
 type Path struct {
 	relaying bool      // others reached the store when this process did not
 	failures int       // of the direct path, in a row
+	cutOff   bool      // nor do those reach the store who follow it for others
 	served   time.Time // beginning of the last call that was answered by the direct path
 	probed   time.Time
 	pause    time.Duration // last pause after others failed
@@ -73,10 +74,17 @@
 		p.served = began
 	}
 	switched = p.relaying || p.failures >= failuresToRelay
-	p.relaying, p.failures = false, 0
+	p.relaying, p.failures, p.cutOff = false, 0, false
 	return switched
 }
 
+// Unreachable tells whether nobody seems to reach the store: neither this process nor
+// those who follow it for others.
+func (p *Path) Unreachable() bool { return p.cutOff && !p.relaying && p.failures > 0 }
+
+// PeersServed notes that those who follow the store for others hear from it.
+func (p *Path) PeersServed() { p.cutOff = false }
+
 // DirectFailed notes that a call by the direct path brought no answer.
 func (p *Path) DirectFailed(began time.Time) {
 	if !began.Before(p.served) {
@@ -87,7 +95,7 @@
 // RelayServed notes that another process reached the store for a call, and
 // tells whether calls switch to peers.
 func (p *Path) RelayServed(now, began time.Time) (switched bool) {
-	p.pause, p.until = 0, time.Time{}
+	p.pause, p.until, p.cutOff = 0, time.Time{}, false
 	if p.relaying || began.Before(p.served) {
 		return false
 	}
@@ -95,6 +103,17 @@
 	return true
 }
 
+// PeersCutOff notes that those who follow the store for others do not hear from
+// it. They are who would be asked first, and every process learns it at the same
+// moment: with each of them asking two more, an outage began with three times as
+// many calls to the store as there are processes.
+func (p *Path) PeersCutOff(now time.Time) {
+	p.cutOff = true
+	if until := now.Add(firstPause); !p.relaying && until.After(p.until) {
+		p.until = until
+	}
+}
+
 // RelaysFailed notes that no other process reached the store either.
 func (p *Path) RelaysFailed(now time.Time) {
 	p.relaying = false
--- a/internal/policy/storepath/path_test.go
+++ b/internal/policy/storepath/path_test.go
@@ -20,6 +20,41 @@
 // after returns the moment so many milliseconds after the start.
 func after(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 
+var _ = Describe("the peers that follow the store", func() {
+	start := time.Unix(1000, 0)
+
+	It("are not asked for a moment when they do not hear from it, and then again", func() {
+		p := &storepath.Path{}
+		p.PeersCutOff(start)
+		Expect(p.MayRelay(start.Add(100 * time.Millisecond))).To(BeFalse())
+		Expect(p.MayRelay(start.Add(time.Second))).To(BeTrue(), "only they may be cut off, and this process too")
+	})
+
+	It("do not end a relay that works", func() {
+		p := &storepath.Path{}
+		p.RelayServed(start, start)
+		p.PeersCutOff(start)
+		Expect(p.MayRelay(start)).To(BeTrue())
+	})
+
+	It("leave nobody who reaches it, until they or this process hear from it", func() {
+		p := &storepath.Path{}
+		Expect(p.Unreachable()).To(BeFalse())
+		p.DirectFailed(start)
+		Expect(p.Unreachable()).To(BeFalse(), "others may reach it")
+		p.PeersCutOff(start)
+		Expect(p.Unreachable()).To(BeTrue())
+		p.PeersServed()
+		Expect(p.Unreachable()).To(BeFalse())
+		p.PeersCutOff(start)
+		p.RelayServed(start.Add(time.Second), start)
+		Expect(p.Unreachable()).To(BeFalse())
+		p.PeersCutOff(start)
+		p.DirectServed(start.Add(2 * time.Second))
+		Expect(p.Unreachable()).To(BeFalse())
+	})
+})
+
 var _ = Describe("the way to the store", func() {
 	It("leaves the direct path once another process reached the store, and returns at its first answer", func() {
 		// What callers see: one process is cut off from the store. It asks another
--- a/internal/storepath/store.go
+++ b/internal/storepath/store.go
@@ -27,8 +27,11 @@
 	// to the other process and back.
 	relayLimit = 700 * time.Millisecond
 	// lookDownEvery passes at least between two looks at a store that answers nobody;
-	// what waits for its return waits half of that on average.
-	lookDownEvery = 400 * time.Millisecond
+	// what waits for its return waits half of that on average. Processes where nothing
+	// waits hear from others that the store is back (MayBeBack), and look by themselves
+	// only in case nobody else reaches it.
+	lookDownEvery     = 400 * time.Millisecond
+	idleLookDownEvery = 4 * lookDownEvery
 	// probeKey is read to see whether the direct path works again; nobody writes it.
 	probeKey = "live/look"
 )
@@ -40,6 +43,8 @@
 	// be nil.
 	Returned func()
 	Switches *mechanism.Switches // set before first use; may be nil
+	// Urgent tells whether something here waits for a store that is away; nil: always.
+	Urgent func() bool
 
 	direct     kv.Shared
 	self       cluster.Member
@@ -218,8 +223,9 @@
 // their watches and listings tried for itself. A write looks for itself: callers
 // wait for it, and one sent into an outage has no outcome.
 func (s *Store) answersAgain(ctx context.Context, read bool) bool {
+	every := s.lookEvery()
 	s.mu.Lock()
-	if read && time.Since(s.looked) < lookDownEvery {
+	if read && time.Since(s.looked) < every {
 		s.mu.Unlock()
 		return false
 	}
@@ -228,6 +234,37 @@
 	return s.probe(ctx)
 }
 
+// MayBeBack tells that another process hears from the store: if it seemed to answer
+// nobody, the next call looks at once.
+func (s *Store) MayBeBack() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.looked = time.Time{}
+	s.path.PeersServed()
+}
+
+// Unreachable tells whether nobody seems to reach the store.
+func (s *Store) Unreachable() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.path.Unreachable()
+}
+
+// PeersCutOff tells that the processes that follow the store for others do not hear
+// from it.
+func (s *Store) PeersCutOff() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.path.PeersCutOff(time.Now())
+}
+
+func (s *Store) lookEvery() time.Duration {
+	if s.Urgent == nil || s.Urgent() {
+		return lookDownEvery
+	}
+	return idleLookDownEvery
+}
+
 // limit returns how long an answer may stay out.
 func (s *Store) limit() time.Duration {
 	s.mu.Lock()
