Keep submissions for half a second while nobody reaches the store, and ask owners before they get jobs

A submitter comes back every 0.15 to 0.45 s for six seconds, whatever it is told, and then its step is lost: it depends on whether one of its tries falls between the store's return and its own end. When the store is back a dead owner is still listed; a step accepted for it is moved 0.5 s later, and its older steps after 1.2 s, of which a ping takes 0.5 s. Change: Hold in policy/storepath: where neither this process nor the scouts reach the store a submission is tried again for 0.5 s, each 0.1 s; else it is refused at once. The return of refused submitters is decided there and no longer by the adapter. An owner is pinged before a job is accepted for it. The ping of a lapsed owner runs within the grace that a killed process has. Specs replay the submitter, and the dead owner; both fail without the change.

--- a/internal/batchrun/batchrun_test.go
+++ b/internal/batchrun/batchrun_test.go
@@ -135,6 +135,35 @@
 		Expect(c.desk.Submit(context.Background(), spec("k", 3))).To(MatchError(batchrun.ErrOutcomeUnknown))
 	})
 
+	It("is accepted by the try that finds the store back, if nobody reached it", func() {
+		// All processes have lost the store, and a trainer submits its step. Refused at
+		// once it would come back a third of a second later, with the whole step.
+		looks := 0
+		a.desk.Unreachable = func() bool {
+			if looks++; looks == 2 {
+				a.cutOff.Store(false)
+			}
+			return true
+		}
+		a.cutOff.Store(true)
+		Expect(a.desk.Submit(context.Background(), spec("j", 2))).To(Succeed())
+		Expect(looks).To(Equal(2))
+		Eventually(results(a, "j")).WithTimeout(patience).Should(Equal(2))
+	})
+
+	It("is refused when the store stays away, and at once when others may reach it", func() {
+		unreachable, asked := true, 0
+		a.desk.Unreachable = func() bool { asked++; return unreachable }
+		a.cutOff.Store(true)
+		err := a.desk.Submit(context.Background(), spec("j", 2))
+		Expect(err).To(MatchError(batchrun.ErrNotRun))
+		Expect(batchrun.RetryAfter(err)).To(BeNumerically(">", 0))
+		Expect(asked).To(BeNumerically(">", 1))
+		unreachable, asked = false, 0
+		Expect(a.desk.Submit(context.Background(), spec("j", 2))).To(MatchError(batchrun.ErrNotRun))
+		Expect(asked).To(Equal(1))
+	})
+
 	It("goes on at another process when its owner is gone, with the results that were read", func() {
 		// The owner is killed with two of four results listed. Its successor makes the
 		// others; what a trainer read at a position stays there.
@@ -196,6 +225,20 @@
 		Eventually(func() map[string]int64 { return other.owner.Jobs() }).WithTimeout(patience).Should(HaveKey("third"), "the silent owner is passed over")
 	})
 
+	It("is accepted for an owner that answers, not for one that died while the store was away", func() {
+		// The dead owner is still listed. A step accepted for it was moved after the time
+		// of an unanswered call; now nobody writes its mark for the dead one at all.
+		Expect(a.desk.Submit(context.Background(), spec("first", 1))).To(Succeed())
+		owner, other := owned("first")
+		Eventually(results(other, "first")).WithTimeout(patience).Should(Equal(1))
+		owner.stop()
+		Expect(other.members.Registered(owner.name)).To(BeTrue())
+		Expect(other.desk.Submit(context.Background(), spec("second", 1))).To(Succeed())
+		mark, err := store.Read(context.Background(), "todo/"+other.name+"/second")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(mark.Revision).To(BeNumerically(">", 0))
+	})
+
 	It("stays with its owner when only the connection to it is old", func() {
 		// What happens: the owner was killed and is back, or its connections were reset.
 		// The first call fails at once on the old connection; moving the job for that
@@ -262,7 +305,13 @@
 		asked := ""
 		other := newProcess("x", store, llm)
 		other.mover.Unsettled = func() bool { return true }
-		other.mover.Answers = func(_ context.Context, name string) bool { asked = name; return false }
+		other.mover.Answers = func(ctx context.Context, name string) bool {
+			asked = name
+			until, limited := ctx.Deadline()
+			Expect(limited).To(BeTrue())
+			Expect(time.Until(until)).To(BeNumerically("<=", 300*time.Millisecond), "no longer than a killed process gets")
+			return false
+		}
 		began := time.Now()
 		other.mover.MemberGone(context.Background(), "dead")
 		Expect(asked).To(Equal("dead"))
--- a/internal/batchrun/desk.go
+++ b/internal/batchrun/desk.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/rpc"
 	"slices"
 	"sync"
@@ -14,6 +15,7 @@
 	"siskinloom.example/siskinloom/internal/events"
 	"siskinloom.example/siskinloom/internal/kv"
 	"siskinloom.example/siskinloom/internal/policy/batch"
+	"siskinloom.example/siskinloom/internal/policy/storepath"
 	"siskinloom.example/siskinloom/internal/rpcpool"
 )
 
@@ -41,6 +43,8 @@
 	ValueBytes int
 	// Models returns the models whose jobs there are; may be nil.
 	Models func() []string
+	// Unreachable tells whether nobody seems to reach the store; nil: somebody does.
+	Unreachable func() bool
 
 	// Domain is this process's failure domain. A hub reads results for the others
 	// in it.
@@ -84,18 +88,31 @@
 		events.JobAccepted.Log(d.Log, logrus.Fields{"job": spec.ID, "items": len(spec.Items), "model": spec.Model, "step": spec.Step})
 		return nil
 	}
-	events.JobRefused.Log(d.Log, logrus.Fields{"job": spec.ID, "error": err.Error()})
+	events.JobRefused.Log(d.Log, logrus.Fields{"job": spec.ID, "error": err.Error(), "retry_ms": RetryAfter(err).Milliseconds()})
 	return err
 }
 
+// comeBack adds to an error when the caller should come back.
+func comeBack(err error) error {
+	return &NotRunError{RetryAfter: storepath.ComeBack(rand.Float64()), Err: err}
+}
+
+// RetryAfter returns when the caller that gets an error should come back.
+func RetryAfter(err error) time.Duration {
+	var refused *NotRunError
+	if errors.As(err, &refused) {
+		return refused.RetryAfter
+	}
+	return storepath.ComeBack(rand.Float64())
+}
+
 // tryAccept writes the job once; done is true if it stands, by this try or an
 // earlier one.
 func (d *Desk) tryAccept(ctx context.Context, spec *batch.Spec, parts [][]byte) (done bool, err error) {
-	owners := d.trusted(d.Members.Owners())
-	if len(owners) == 0 {
+	owner, found := d.ownerFor(ctx, affinity(spec.Model, spec.ID))
+	if !found {
 		return false, errors.Wrap(kv.ErrUnavailable, "no process to own it")
 	}
-	owner := ownersFor(d.Models).of(affinity(spec.Model, spec.ID), owners)
 	record := jobRecord{Owner: owner, Model: spec.Model, Submitted: spec.Submitted, Total: len(spec.Items), Parts: len(parts)}
 	t, err := acceptance(spec.ID, record, parts)
 	if err != nil {
@@ -131,27 +148,45 @@
 	return t, nil
 }
 
-// write repeats a conditional write until its outcome is known. Once a try may
-// have taken effect, a later refusal no longer means "not run".
+// write repeats a conditional write until its outcome is known, and for a while if
+// nobody reaches the store. Once a try may have taken effect, a later refusal no
+// longer means "not run".
 func (d *Desk) write(ctx context.Context, try func() (bool, error)) error {
-	unknown := false
+	began := time.Now()
+	unknown := 0 // tries since one whose outcome is not known
 	var last error
-	for range writeTries {
+	for unknown < writeTries {
 		done, err := try()
 		if err == nil && done {
 			return nil
 		}
 		last = err
-		unknown = unknown || errors.Is(err, kv.ErrUnknown)
-		if !unknown || ctx.Err() != nil {
+		if unknown > 0 || errors.Is(err, kv.ErrUnknown) {
+			unknown++
+		}
+		wait := writeAgain
+		if unknown == 0 {
+			wait = d.hold(began, err)
+		}
+		if wait == 0 || ctx.Err() != nil {
 			break
 		}
-		pause(ctx, writeAgain)
+		pause(ctx, wait)
 	}
-	if unknown {
+	if unknown > 0 {
 		return errors.Wrap(ErrOutcomeUnknown, last.Error())
 	}
-	return errors.Wrap(ErrNotRun, last.Error())
+	return comeBack(errors.Wrap(ErrNotRun, last.Error()))
+}
+
+// hold returns the pause until a write that certainly had no effect is tried again;
+// 0 if it is not.
+func (d *Desk) hold(began time.Time, err error) time.Duration {
+	unreachable := d.Unreachable != nil && errors.Is(err, kv.ErrUnavailable) && d.Unreachable()
+	if time.Since(began) < storepath.Hold(unreachable) {
+		return storepath.HoldPause
+	}
+	return 0
 }
 
 // End ends a job. nil means that the end is durable.
--- a/internal/batchrun/moving.go
+++ b/internal/batchrun/moving.go
@@ -46,22 +46,25 @@
 // MemberGone moves a process's jobs unless it comes back. It returns when that
 // is done or ctx ends.
 func (m *Mover) MemberGone(ctx context.Context, name string) {
-	grace := moveGrace
+	rest := time.Duration(m.rank(name)) * rankDelay
+	began := time.Now()
 	if m.Unsettled() && m.mayLive(ctx, name) {
-		grace = outageGrace
+		rest += outageGrace - moveGrace
 	}
-	pause(ctx, grace+time.Duration(m.rank(name))*rankDelay)
+	pause(ctx, moveGrace-time.Since(began)+rest)
 	if m.Members.Registered(name) || ctx.Err() != nil || name == m.Self {
 		return
 	}
 	if err := m.MoveAll(ctx, name); err != nil {
-		events.ResultsDelayed.Log(m.Log, logrus.Fields{"owner": name, "error": err.Error()})
+		events.JobsNotMoved.Log(m.Log, logrus.Fields{"owner": name, "error": err.Error()})
 	}
 }
 
 // mayLive tells whether a process whose registration lapsed in an outage of the
-// store may be back soon: one that answers no call will not.
+// store may be back soon: one that answers no call within moveGrace will not.
 func (m *Mover) mayLive(ctx context.Context, name string) bool {
+	ctx, cancel := context.WithTimeout(ctx, moveGrace)
+	defer cancel()
 	return m.Answers == nil || m.Answers(ctx, name)
 }
 
--- a/internal/batchrun/reading.go
+++ b/internal/batchrun/reading.go
@@ -152,7 +152,7 @@
 		return err
 	}
 	events.ReadFailed.Log(d.Log, logrus.Fields{"job": id, "error": err.Error()})
-	return errors.Wrap(ErrCannotTell, err.Error())
+	return comeBack(errors.Wrap(ErrCannotTell, err.Error()))
 }
 
 func (d *Desk) snapshot(id string) *knownJob {
--- a/internal/batchrun/rehome.go
+++ b/internal/batchrun/rehome.go
@@ -17,6 +17,9 @@
 	// there are others. A dead process stays registered for its lease's time, and
 	// for longer when the store was away.
 	distrustFor = 5 * time.Second
+	// pingLimit is how long an owner may take to answer before a job is accepted for
+	// it; owners are milliseconds away.
+	pingLimit = 250 * time.Millisecond
 	// rehomeLimit bounds the move of a job whose owner does not answer.
 	rehomeLimit = 3 * time.Second
 )
@@ -47,6 +50,35 @@
 	d.silent[owner] = time.Now()
 }
 
+// ownerFor returns who owns a job that is accepted now: the owner that the key
+// chooses, or the next one if that does not answer. After an outage of the store a
+// dead process is listed for some seconds more, and a step that was accepted for it
+// began half a second late.
+func (d *Desk) ownerFor(ctx context.Context, key string) (string, bool) {
+	owners := d.trusted(d.Members.Owners())
+	if len(owners) == 0 {
+		return "", false
+	}
+	first := ownersFor(d.Models).of(key, owners)
+	others := without(owners, first)
+	if len(others) == 0 || d.reaches(ctx, first) {
+		return first, true
+	}
+	if next := ownersFor(d.Models).of(key, others); d.reaches(ctx, next) {
+		d.distrust(first)
+		return next, true
+	}
+	return first, true // it is this process that reaches nobody
+}
+
+// reaches tells whether an owner answers soon. One that started anew is asked a
+// second time, as the connection was to the one before.
+func (d *Desk) reaches(ctx context.Context, name string) bool {
+	ctx, cancel := context.WithTimeout(ctx, pingLimit)
+	defer cancel()
+	return d.Answers(ctx, name) || ctx.Err() == nil && d.Answers(ctx, name)
+}
+
 // tellAccepted tells the owner of a job that was just accepted for it. If it
 // does not answer, the job goes to another one: its mark alone would wait for
 // the owner's registration to lapse, which took four seconds after an outage of
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -164,7 +164,7 @@
 		n.owner.Texts = textlog.New(filepath.Join(s.DataDir, "texts"), log, registry)
 	}
 	n.owner.Init()
-	n.desk = &batchrun.Desk{Store: a.Store, Members: n.members, Peers: peers, Local: n.owner, Log: log, ValueBytes: s.ValueBytes, Models: n.directory.Models, Domain: s.FailureDomain, IsHub: s.Worker}
+	n.desk = &batchrun.Desk{Store: a.Store, Members: n.members, Peers: peers, Local: n.owner, Log: log, ValueBytes: s.ValueBytes, Models: n.directory.Models, Domain: s.FailureDomain, IsHub: s.Worker, Unreachable: n.store.Unreachable}
 	n.mover = &batchrun.Mover{Self: s.ID, Store: a.Store, Members: n.members, Log: log, Unsettled: n.trouble.recent, Answers: n.desk.Answers, Models: n.directory.Models, Tell: n.desk.TellMoved}
 	n.gate = gate.New(n.directory, a.Sender, log, registry)
 	n.gate.Switches = switches
