Have a standby that starts anew say so, and keep what it was sent

Ruled out: a call that asks before each message (a call more for each job, four times a second). Change: messages say whether they are all that there is; a standby that has not what went before takes nothing in and answers so, and the owner sends all.

--- a/internal/batchrun/copies.go
+++ b/internal/batchrun/copies.go
@@ -39,9 +39,15 @@
 
 // CopyArgs hold new events of an owner's job.
 type CopyArgs struct {
-	Job  string
-	Mark int64
-	Raw  []byte // packed parts
+	Job   string
+	Mark  int64
+	Whole bool   // Raw holds all that there is
+	Raw   []byte // packed parts
+}
+
+// CopyReply is the answer.
+type CopyReply struct {
+	Lacking bool // what went before is not there, and nothing was taken in
 }
 
 // TextsArgs ask for what is kept of a job's texts.
@@ -56,8 +62,8 @@
 	Owner *Owner
 	// Standby names the process that would own a model's job if this one were gone.
 	Standby func(model, job string) (name string, found bool)
-	// Send hands a process new events.
-	Send func(ctx context.Context, to string, args CopyArgs) error
+	// Send hands a process new events; lacking tells that it needs all of them.
+	Send func(ctx context.Context, to string, args CopyArgs) (lacking bool, err error)
 
 	gather *textlog.Gather
 	bytes  metrics.Counter
@@ -115,14 +121,19 @@
 		c.forget(g.Job)
 		return
 	}
-	if !c.follows(g, to) {
+	whole := !c.follows(g, to)
+	if whole {
 		g.Parts = j.longTexts()
 	}
 	ctx, cancel := context.WithTimeout(ctx, copyLimit)
 	defer cancel()
+	lacking := false
 	raw, err := pack(g.Parts)
 	if err == nil {
-		err = c.Send(ctx, to, CopyArgs{Job: g.Job, Mark: g.Mark, Raw: raw})
+		lacking, err = c.Send(ctx, to, CopyArgs{Job: g.Job, Mark: g.Mark, Whole: whole, Raw: raw})
+	}
+	if lacking {
+		err = errLacking
 	}
 	if err != nil {
 		c.again(j)
@@ -135,6 +146,10 @@
 	c.sent[g.Job] = sentTo{g.Mark, to}
 }
 
+// errLacking is the answer of a process that started anew since it was sent what
+// went before.
+var errLacking = errors.New("batchrun: the process has not what went before")
+
 // again has all of a job's texts sent with the next events or without: what the
 // failed call held would be missing before those that come.
 func (c *Copier) again(j *ownedJob) {
@@ -179,12 +194,12 @@
 }
 
 // Copy implements the call of that name: this process keeps another's texts.
-func (s *Service) Copy(args CopyArgs, _ *struct{}) error {
+func (s *Service) Copy(args CopyArgs, reply *CopyReply) error {
 	parts, err := unpack(args.Raw)
 	if err != nil {
 		return err
 	}
-	s.owner.Texts.Put(textlog.Gathered{Job: args.Job, Mark: args.Mark, Parts: parts})
+	reply.Lacking = !s.owner.Texts.Put(textlog.Gathered{Job: args.Job, Mark: args.Mark, Parts: parts}, args.Whole)
 	return nil
 }
 
--- a/internal/batchrun/copies_test.go
+++ b/internal/batchrun/copies_test.go
@@ -135,9 +135,28 @@
 		wrap = func(p *process) {
 			send := p.owner.Copier.Send
 			var calls atomic.Int32
-			p.owner.Copier.Send = func(ctx context.Context, to string, args batchrun.CopyArgs) error {
+			p.owner.Copier.Send = func(ctx context.Context, to string, args batchrun.CopyArgs) (bool, error) {
 				if calls.Add(1) == 1 {
-					return errors.New("cut off")
+					return false, errors.New("cut off")
+				}
+				return send(ctx, to, args)
+			}
+		}
+		DeferCleanup(func() { wrap = func(*process) {} })
+		start("a", "b")
+		Expect(processes[0].desk.Submit(context.Background(), spec("j", 3))).To(Succeed())
+		_, others := ownerOf("j")
+		Eventually(copied(others[0])).WithTimeout(patience).Should(Equal(3 * made))
+	})
+
+	It("are sent again as a whole when the standby says that it began anew", func() {
+		// The standby was restarted by itself and has forgotten what it was sent.
+		wrap = func(p *process) {
+			send := p.owner.Copier.Send
+			var calls atomic.Int32
+			p.owner.Copier.Send = func(ctx context.Context, to string, args batchrun.CopyArgs) (bool, error) {
+				if calls.Add(1) == 1 {
+					return true, nil
 				}
 				return send(ctx, to, args)
 			}
@@ -152,6 +171,6 @@
 	It("are not taken from a message that cannot be read", func() {
 		start("a")
 		service := &batchrun.Service{}
-		Expect(service.Copy(batchrun.CopyArgs{Job: "j", Raw: []byte("torn")}, nil)).NotTo(Succeed())
+		Expect(service.Copy(batchrun.CopyArgs{Job: "j", Raw: []byte("torn")}, &batchrun.CopyReply{})).NotTo(Succeed())
 	})
 })
--- a/internal/batchrun/desk.go
+++ b/internal/batchrun/desk.go
@@ -324,9 +324,14 @@
 	return ownersFor(d.Models).of(affinity(model, job), others), true
 }
 
-// SendCopy hands a process new events of a job's texts.
-func (d *Desk) SendCopy(ctx context.Context, to string, args CopyArgs) error {
-	return d.call(ctx, to, callCopy, 0, args, &struct{}{})
+// SendCopy hands a process new events of a job's texts; lacking tells that it needs
+// all of them.
+func (d *Desk) SendCopy(ctx context.Context, to string, args CopyArgs) (lacking bool, err error) {
+	var reply CopyReply
+	if err := d.call(ctx, to, callCopy, 0, args, &reply); err != nil {
+		return false, err // the reply may still be written to
+	}
+	return reply.Lacking, nil
 }
 
 // AskTexts asks the other workers for a job's texts, and returns what came until
--- a/internal/textlog/textlog.go
+++ b/internal/textlog/textlog.go
@@ -101,18 +101,24 @@
 	}
 }
 
-// Put takes in parts of another owner's job.
-func (l *Log) Put(g Gathered) {
+// Put takes in parts of another owner's job; whole tells that they are all that
+// there is. It returns false if they follow on what is not here, as this process
+// started after it was sent: then nothing is taken in, and what an earlier run of
+// this process kept stays of use until the whole comes.
+func (l *Log) Put(g Gathered, whole bool) (follows bool) {
 	if l == nil {
-		return
+		return true
 	}
-	mark, open := l.Mark(g.Job)
-	if !open || mark < g.Mark {
+	if mark, open := l.Mark(g.Job); !open || mark < g.Mark {
+		if !whole {
+			return false
+		}
 		l.Begin(g.Job, g.Mark, batch.NewTexts())
 	}
 	for _, part := range g.Parts {
 		l.Add(g.Job, g.Mark, part)
 	}
+	return true
 }
 
 // Drop removes, some time later, what is kept of a job that ended or went to
--- a/internal/textlog/textlog_test.go
+++ b/internal/textlog/textlog_test.go
@@ -62,7 +62,7 @@
 		l.Event("job", 7, "settle", 1, []byte("x"), 3)
 		EventuallyWithOffset(1, synced).WithTimeout(patience).Should(BeNumerically(">", before))
 	}
-	// resumed returns where a job of three items goes on: the next event of each.
+	// resumed returns where a job of three items goes on: the events that each has.
 	resumed := func(l *textlog.Log) []int64 {
 		scored := spec(3)
 		for i := range scored.Items {
@@ -84,6 +84,34 @@
 
 	BeforeEach(func() { dir = filepath.Join(GinkgoT().TempDir(), "texts") })
 
+	It("keeps what a standby was sent when it starts anew while the owner goes on", func() {
+		// The standby is restarted by itself. The owner's next events follow on forty
+		// that the new process does not know; taken in, they would empty the file that
+		// holds those, and all texts would be lost with the owner.
+		part := func(first, events int64) batch.TextPart {
+			p := batch.TextPart{Item: "i0", First: first}
+			for id := first; id < first+events; id++ {
+				p.Events = append(p.Events, []byte(fmt.Sprintf("e%d", id)))
+				p.Versions = append(p.Versions, 3)
+			}
+			return p
+		}
+		dir = GinkgoT().TempDir()
+		before := open()
+		run(before)
+		Expect(before.Put(textlog.Gathered{Job: "job", Mark: 7, Parts: []batch.TextPart{part(1, 40)}}, true)).To(BeTrue())
+		Eventually(synced).WithTimeout(patience).Should(BeNumerically(">", 0))
+		stop()
+		again := open()
+		run(again)
+		Expect(again.Put(textlog.Gathered{Job: "job", Mark: 7, Parts: []batch.TextPart{part(41, 8)}}, false)).To(BeFalse(), "the owner is told to send all")
+		Consistently(func() int64 { return resumed(again)[0] }).WithTimeout(300 * time.Millisecond).Should(Equal(int64(40)))
+		Expect(again.Put(textlog.Gathered{Job: "job", Mark: 7, Parts: []batch.TextPart{part(1, 48)}}, true)).To(BeTrue())
+		Eventually(func() int64 { return resumed(again)[0] }).WithTimeout(patience).Should(Equal(int64(48)))
+		Expect(again.Put(textlog.Gathered{Job: "job", Mark: 7, Parts: []batch.TextPart{part(49, 2)}}, false)).To(BeTrue())
+		Eventually(func() int64 { return resumed(again)[0] }).WithTimeout(patience).Should(Equal(int64(50)))
+	})
+
 	It("gives a process that was killed the texts it had", func() {
 		// The owner is killed in the middle of a step. The one that starts in its place
 		// takes the job on under a newer mark and goes on after the last event on disk;
@@ -287,7 +315,7 @@
 		Expect(textlog.New("", silent(), metrics.NewRegistry())).To(BeNil())
 		none.Begin("job", 7, batch.NewTexts())
 		none.Add("job", 7, batch.TextPart{Item: "i0", First: 1})
-		none.Put(textlog.Gathered{Job: "job", Mark: 7})
+		Expect(none.Put(textlog.Gathered{Job: "job", Mark: 7}, false)).To(BeTrue(), "nothing is ever there")
 		none.Drop("job", 7)
 		Expect(none.Run(context.Background())).To(Succeed())
 		Expect(none.Load(context.Background(), "job").Parts()).To(BeEmpty())
