Let the patience of items follow the time that their step has, and tell reasons in comments, not measurements

Cause: patience was four seconds, near half of the periods of the deployments at hand; steps of minutes would be narrowed for the first seconds only. Change: half of the time between submission and due; eight seconds where a job names none. Comments keep the failure or gain.

--- a/internal/batchrun/copies.go
+++ b/internal/batchrun/copies.go
@@ -237,8 +237,7 @@
 	return texts
 }
 
-// codec packs texts for other failure domains: 4.4 MB of parts, as encoded, became
-// 3.6 MB in a played day of two trainers.
+// codec packs texts, as bytes between failure domains are paid for.
 var codec = sync.OnceValues(func() (*zstd.Encoder, *zstd.Decoder) {
 	encoder, err := zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1))
 	if err != nil {
--- a/internal/batchrun/hub.go
+++ b/internal/batchrun/hub.go
@@ -43,10 +43,9 @@
 }
 
 // hub names the worker in this process's failure domain by which a job's results
-// are read: the same one for all processes of the domain. Each of 27 entries that
-// read every job by itself took each result over a domain's border (127 MB in a
-// played day), or from the store once the job's owner had forgotten it (some 370
-// listings after a kill of all processes).
+// are read: the same one for all processes of the domain. Otherwise every entry takes
+// each result over the domain's border by itself, or from the store once the job's
+// owner has forgotten it, as after a kill of all processes.
 func (d *Desk) hub(job string) (name string, found bool) {
 	if d.IsHub || !d.Local.Switches.On(mechanism.ReadNear) {
 		return "", false
--- a/internal/batchrun/itemrun.go
+++ b/internal/batchrun/itemrun.go
@@ -103,8 +103,7 @@
 }
 
 // moveGain is how many events' time a run must save by going on elsewhere: a move
-// takes less than one, but also a new connection, and what runs where changes. At 4
-// a step took as long, with twice the connections.
+// takes less than one, but also a new connection, and what runs where changes.
 const moveGain = 8.0
 
 // crowdedEvents is every how many events a run looks for a roomier engine.
--- a/internal/batchrun/owner.go
+++ b/internal/batchrun/owner.go
@@ -259,8 +259,8 @@
 }
 
 // StoreBack tells that the store answers again: what waits to be written goes out
-// at once. With each writer's own next look, 93 results of a job were lost with
-// all processes, which were killed 0.2 s after an outage.
+// at once, as all processes may be killed a moment later, and what is not durable
+// then is lost.
 func (o *Owner) StoreBack() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/batchrun/resultcache.go
+++ b/internal/batchrun/resultcache.go
@@ -13,9 +13,8 @@
 
 // resultCache keeps the results that were read at this process, which never
 // change once they are durable. A job is read at every entry, again and again from
-// its start by some: asked for whole each time, results were three quarters of the
-// bytes between failure domains (44 of 58 MB in 36 s). It is safe for concurrent
-// use; the zero value is empty.
+// its start by some; asked for whole each time, results are most of the bytes
+// between failure domains. It is safe for concurrent use; the zero value is empty.
 type resultCache struct {
 	mu    sync.Mutex
 	jobs  map[string]*cachedJob
--- a/internal/batchrun/starts.go
+++ b/internal/batchrun/starts.go
@@ -64,9 +64,13 @@
 }
 
 func (o *Owner) view(table *routes.Table, j *ownedJob, now time.Time) schedule.Job {
-	view := schedule.Job{Age: now.Sub(j.job.Spec.Submitted).Seconds()}
-	if route := table.Match(j.job.Spec.Host, j.job.Spec.Items[0].Path); route != nil {
-		view.Pace, _ = o.Directory.Pace(routes.Service(route, j.job.Spec.Items[0].ID))
+	spec := j.job.Spec
+	view := schedule.Job{Age: now.Sub(spec.Submitted).Seconds()}
+	if !spec.Due.IsZero() {
+		view.Due = spec.Due.Sub(spec.Submitted).Seconds()
+	}
+	if route := table.Match(spec.Host, spec.Items[0].Path); route != nil {
+		view.Pace, _ = o.Directory.Pace(routes.Service(route, spec.Items[0].ID))
 	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/internal/cluster/follow.go
+++ b/internal/cluster/follow.go
@@ -27,8 +27,8 @@
 	firstRetry = 100 * time.Millisecond
 	mostRetry  = 700 * time.Millisecond
 	// goneAgain passes at least between two listings because history was gone. A
-	// store that drops it as fast as it comes refuses every watch: each listing then
-	// was followed by one refusal and the next listing, 15 calls a second.
+	// store that drops it as fast as it comes refuses every watch, and each listing is
+	// followed by a refusal and the next listing.
 	goneAgain = 400 * time.Millisecond
 	// idleLook is how often an idle follower looks whether it still is.
 	idleLook = time.Second
--- a/internal/cluster/scouts.go
+++ b/internal/cluster/scouts.go
@@ -6,9 +6,8 @@
 
 // scoutCount is how many processes follow the store for all others. Each costs
 // the store a watch and an answer for every change, whatever the size of the
-// fleet: 290 calls a minute at forty processes. One that is cut off follows by
-// way of others; when both are gone, the rest follow the store themselves until
-// the list names new ones.
+// fleet. One that is cut off follows by way of others; when both are gone, the rest
+// ask the store themselves until the list names new ones.
 const scoutCount = 2
 
 // Scouts returns the workers that follow the store and pass its news on. Every
--- a/internal/policy/batch/write.go
+++ b/internal/policy/batch/write.go
@@ -7,15 +7,13 @@
 
 const (
 	// partGather is how long results of groups that are not whole wait to be
-	// written where single groups are written: a trainer has no use for them yet,
-	// and written as they came they made half of an owner's writes.
+	// written where single groups are written: a trainer has no use for them yet, and
+	// written as they come each is a call.
 	partGather = time.Second
 	// stepGather is how long results wait for their step to be whole. A trainer
 	// trains on a whole step; one that has just read some results reads again half
-	// a second later, one that finds none is answered the moment there are some.
-	// With results written group by group a step of 144 items was read 0.43 s after
-	// its last result, with this 0.26 s (mean of 49 steps each). An owner that is
-	// lost loses no more work than this.
+	// a second later, one that finds none is answered the moment there are some. An
+	// owner that is lost loses no more work than this.
 	stepGather = 2 * time.Second
 	// dueMargin before a step is due its results are written group by group, so
 	// that what is whole is read in time though the step is not.
--- a/internal/policy/endpoints/delay.go
+++ b/internal/policy/endpoints/delay.go
@@ -1,8 +1,7 @@
 package endpoints
 
 // batchSlowdown is how much slower, as a share, a full batch makes each of its
-// requests than an engine without others: 0.35 where 16 events of 32 ms alone
-// take 43 ms together, 0.2 to 0.4 on engines with six or eight places.
+// requests than an engine without others.
 const batchSlowdown = 0.35
 
 // Placement is what a long request asks of its endpoint besides what every
--- a/internal/policy/endpoints/endpoints.go
+++ b/internal/policy/endpoints/endpoints.go
@@ -259,8 +259,8 @@
 const fewChanges = 16
 
 // typicalCost is the median of the endpoints' costs, 0 if it is unknown. It is
-// taken anew once a sixteenth of the endpoints showed another cost: among 1,300,
-// sorting at each choice took 24 of its 40 us.
+// taken anew only once some of the endpoints showed another cost: sorting more than
+// a thousand at each choice is most of its time.
 func (s *Set) typicalCost() float64 {
 	if s.observed > len(s.list)/fewChanges {
 		s.observed = 0
--- a/internal/policy/endpoints/reports.go
+++ b/internal/policy/endpoints/reports.go
@@ -27,8 +27,7 @@
 
 // Reported takes in what another process has at the endpoints, in place of what it
 // told before. Without such reports two owners of jobs each keep narrow what the
-// other one fills: a step of 144 items beside one of 112 took 6.19 s, with one
-// owner for both 6.07 s (mean of 49 steps).
+// other one fills.
 func (s *Set) Reported(now time.Time, from string, shares map[string]Share) {
 	if s.reports == nil {
 		s.reports = map[string]report{}
--- a/internal/policy/modelplan/modelplan.go
+++ b/internal/policy/modelplan/modelplan.go
@@ -36,8 +36,7 @@
 	// carriedShare is how many models' places there are for each engine: over 1, as
 	// a step's first items find only the half of a model's engines that loads at
 	// the next version, and low enough that the loads of a version are done before
-	// the next one is named. With 4/3 the mean worth of five days of 35 engines and
-	// four models was 0.69, with 1.6 it was 0.76.
+	// the next one is named.
 	carriedShare = 1.6
 	// fewestEngines is how many engines carry a model, whatever its share: one
 	// more than a crash may take.
--- a/internal/policy/rendezvous/spread.go
+++ b/internal/policy/rendezvous/spread.go
@@ -4,8 +4,8 @@
 // be: a thing goes to the node that draws it most among those with the fewest.
 // It returns the index of each thing's node, and nothing without nodes.
 //
-// Placed by weight alone, four things on eight nodes share a node three times in
-// five, and what is lost with it doubles. A node that comes or goes may move more
+// Placed by weight alone, four things on eight nodes mostly share one, and what is
+// lost with it doubles. A node that comes or goes may move more
 // than its own things.
 func Spread(things, nodes []uint64) []int {
 	if len(nodes) == 0 {
--- a/internal/policy/schedule/schedule.go
+++ b/internal/policy/schedule/schedule.go
@@ -25,15 +25,16 @@
 	// spareWeight is the weight of items that the trainer can do without.
 	spareWeight = 0.0
 	// narrowMargin is how many times the width that the work needs on average an
-	// engine with a heavy run may have. Below about 1.3 short items wait so long
-	// that those which turn out long hold up the step; beyond 3 the limit has no
-	// effect.
+	// engine with a heavy run may have: with less, short items wait so long that those
+	// which turn out long hold up the step; with much more the limit has no effect.
 	narrowMargin = 1.5
-	// patience is how many seconds after its submission the items of a step yield to
-	// heavy runs. Items that never start hold their step up as well, though engines
-	// have room: those that a trainer can do without, and those beside a step that
-	// an old fault has made late. Nine tenths of a step begin within 2.3 s.
-	patience = 4.0
+	// patienceShare of the time that a step has is how long after its submission its
+	// items yield to heavy runs. Items that never start hold their step up as well,
+	// though engines have room: those that a trainer can do without, and those beside
+	// a step that an old fault has made late.
+	patienceShare = 0.5
+	// assumedDue is the time in seconds that a step has if nobody says.
+	assumedDue = 8.0
 	// leastNarrow keeps room for the short items of a light load.
 	leastNarrow = 2
 )
@@ -44,6 +45,15 @@
 	Work    float64 // events that its texts are expected to have yet
 	Longest float64 // of the text that its trainer waits for longest
 	Pace    float64 // seconds that an event takes; 0: not known
+	Due     float64 // from its submission until it is due; 0: not known
+}
+
+// patience is how long after its submission the job's items yield to heavy runs.
+func (j *Job) patience() float64 {
+	if j.Due > 0 {
+		return patienceShare * j.Due
+	}
+	return patienceShare * assumedDue
 }
 
 func (j *Job) pace() float64 {
@@ -108,7 +118,7 @@
 // has if the work is spread evenly over the time of the longest text. 0 stands for
 // any number: the item's job has waited long enough.
 func (l *Load) Narrow(j *Job, engines int) int {
-	if j.Age >= patience {
+	if j.Age >= j.patience() {
 		return 0
 	}
 	if l.Longest <= 0 || engines <= 0 {
--- a/internal/policy/schedule/schedule_test.go
+++ b/internal/policy/schedule/schedule_test.go
@@ -62,6 +62,15 @@
 		Expect(load.Narrow(&schedule.Job{Age: 4}, 9)).To(BeZero())
 	})
 
+	It("bounds items for half of the time that their step has, however long that is", func() {
+		stuck := schedule.Job{Age: 300, Work: 160, Longest: 160}
+		load := schedule.Survey([]schedule.Job{stuck})
+		const minutes = 28 * 60.0
+		Expect(load.Narrow(&schedule.Job{Age: minutes/2 - 1, Due: minutes}, 9)).To(Equal(2))
+		Expect(load.Narrow(&schedule.Job{Age: minutes / 2, Due: minutes}, 9)).To(BeZero())
+		Expect(load.Narrow(&schedule.Job{Age: 1, Due: 2}, 9)).To(BeZero())
+	})
+
 	It("is somewhat more than the work needs if it is spread over the longest text's time", func() {
 		load := schedule.Survey([]schedule.Job{{Work: 3000, Longest: 160}, {Work: 1400, Longest: 80}})
 		Expect(load.Narrow(fresh, 9)).To(Equal(5)) // 1.5 x 4,400 / 160 / 9 = 4.6
