--- a/internal/batchrun/adopt.go
+++ b/internal/agentless/batchrun/adopt.go
@@ -6,9 +6,9 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"siskinloom.example/siskinloom/internal/agentless/mechanism"
 	"siskinloom.example/siskinloom/internal/events"
 	"siskinloom.example/siskinloom/internal/kv"
-	"siskinloom.example/siskinloom/internal/mechanism"
 	"siskinloom.example/siskinloom/internal/policy/batch"
 )
 
--- a/internal/batchrun/batchrun_test.go
+++ b/internal/agentless/batchrun/batchrun_test.go
@@ -11,8 +11,8 @@
 	. "github.com/onsi/gomega"
 	"github.com/pkg/errors"
 
-	"siskinloom.example/siskinloom/internal/batchrun"
-	"siskinloom.example/siskinloom/internal/dispatch"
+	"siskinloom.example/siskinloom/internal/agentless/batchrun"
+	"siskinloom.example/siskinloom/internal/agentless/dispatch"
 	"siskinloom.example/siskinloom/internal/kv"
 	"siskinloom.example/siskinloom/internal/policy/batch"
 	"siskinloom.example/siskinloom/internal/rpcpool"
--- a/internal/batchrun/copies.go
+++ b/internal/agentless/batchrun/copies.go
@@ -13,10 +13,10 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
+	"siskinloom.example/siskinloom/internal/agentless/mechanism"
+	"siskinloom.example/siskinloom/internal/agentless/textlog"
 	"siskinloom.example/siskinloom/internal/events"
-	"siskinloom.example/siskinloom/internal/mechanism"
 	"siskinloom.example/siskinloom/internal/policy/batch"
-	"siskinloom.example/siskinloom/internal/textlog"
 )
 
 const (
--- a/internal/batchrun/copies_test.go
+++ b/internal/agentless/batchrun/copies_test.go
@@ -9,10 +9,10 @@
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 
-	"siskinloom.example/siskinloom/internal/batchrun"
+	"siskinloom.example/siskinloom/internal/agentless/batchrun"
+	"siskinloom.example/siskinloom/internal/agentless/textlog"
 	"siskinloom.example/siskinloom/internal/policy/batch"
 	"siskinloom.example/siskinloom/internal/standin"
-	"siskinloom.example/siskinloom/internal/textlog"
 )
 
 var _ = Describe("the copies of texts under way", func() {
--- a/internal/batchrun/fakes_test.go
+++ b/internal/agentless/batchrun/fakes_test.go
@@ -17,11 +17,11 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
-	"siskinloom.example/siskinloom/internal/batchrun"
-	"siskinloom.example/siskinloom/internal/cluster"
-	"siskinloom.example/siskinloom/internal/deployment"
-	"siskinloom.example/siskinloom/internal/directory"
-	"siskinloom.example/siskinloom/internal/dispatch"
+	"siskinloom.example/siskinloom/internal/agentless/batchrun"
+	"siskinloom.example/siskinloom/internal/agentless/cluster"
+	"siskinloom.example/siskinloom/internal/agentless/deployment"
+	"siskinloom.example/siskinloom/internal/agentless/directory"
+	"siskinloom.example/siskinloom/internal/agentless/dispatch"
 	"siskinloom.example/siskinloom/internal/kv"
 	"siskinloom.example/siskinloom/internal/rpcpool"
 )
--- a/internal/batchrun/hub.go
+++ b/internal/agentless/batchrun/hub.go
@@ -7,8 +7,8 @@
 
 	"github.com/pkg/errors"
 
-	"siskinloom.example/siskinloom/internal/cluster"
-	"siskinloom.example/siskinloom/internal/mechanism"
+	"siskinloom.example/siskinloom/internal/agentless/cluster"
+	"siskinloom.example/siskinloom/internal/agentless/mechanism"
 	"siskinloom.example/siskinloom/internal/policy/rendezvous"
 )
 
--- a/internal/batchrun/hub_test.go
+++ b/internal/agentless/batchrun/hub_test.go
@@ -7,8 +7,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"siskinloom.example/siskinloom/internal/batchrun"
-	"siskinloom.example/siskinloom/internal/cluster"
+	"siskinloom.example/siskinloom/internal/agentless/batchrun"
+	"siskinloom.example/siskinloom/internal/agentless/cluster"
 	"siskinloom.example/siskinloom/internal/standin"
 )
 
--- a/internal/batchrun/itemrun.go
+++ b/internal/agentless/batchrun/itemrun.go
@@ -8,13 +8,13 @@
 
 	"github.com/pkg/errors"
 
-	"siskinloom.example/siskinloom/internal/directory"
-	"siskinloom.example/siskinloom/internal/dispatch"
-	"siskinloom.example/siskinloom/internal/mechanism"
+	"siskinloom.example/siskinloom/internal/agentless/directory"
+	"siskinloom.example/siskinloom/internal/agentless/dispatch"
+	"siskinloom.example/siskinloom/internal/agentless/mechanism"
+	"siskinloom.example/siskinloom/internal/agentless/upstream"
 	"siskinloom.example/siskinloom/internal/policy/batch"
 	"siskinloom.example/siskinloom/internal/policy/endpoints"
 	"siskinloom.example/siskinloom/internal/policy/schedule"
-	"siskinloom.example/siskinloom/internal/upstream"
 )
 
 const (
--- a/internal/batchrun/loads.go
+++ b/internal/agentless/batchrun/loads.go
@@ -7,7 +7,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"siskinloom.example/siskinloom/internal/mechanism"
+	"siskinloom.example/siskinloom/internal/agentless/mechanism"
 	"siskinloom.example/siskinloom/internal/policy/endpoints"
 	"siskinloom.example/siskinloom/internal/policy/schedule"
 )
--- a/internal/batchrun/owner.go
+++ b/internal/agentless/batchrun/owner.go
@@ -13,15 +13,15 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
-	"siskinloom.example/siskinloom/internal/cluster"
-	"siskinloom.example/siskinloom/internal/directory"
-	"siskinloom.example/siskinloom/internal/dispatch"
+	"siskinloom.example/siskinloom/internal/agentless/cluster"
+	"siskinloom.example/siskinloom/internal/agentless/directory"
+	"siskinloom.example/siskinloom/internal/agentless/dispatch"
+	"siskinloom.example/siskinloom/internal/agentless/mechanism"
+	"siskinloom.example/siskinloom/internal/agentless/textlog"
 	"siskinloom.example/siskinloom/internal/events"
 	"siskinloom.example/siskinloom/internal/kv"
-	"siskinloom.example/siskinloom/internal/mechanism"
 	"siskinloom.example/siskinloom/internal/policy/batch"
 	"siskinloom.example/siskinloom/internal/policy/schedule"
-	"siskinloom.example/siskinloom/internal/textlog"
 )
 
 const (
--- a/internal/batchrun/owners.go
+++ b/internal/agentless/batchrun/owners.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"siskinloom.example/siskinloom/internal/cluster"
+	"siskinloom.example/siskinloom/internal/agentless/cluster"
 	"siskinloom.example/siskinloom/internal/policy/rendezvous"
 )
 
--- a/internal/batchrun/runs.go
+++ b/internal/agentless/batchrun/runs.go
@@ -9,13 +9,13 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
-	"siskinloom.example/siskinloom/internal/directory"
-	"siskinloom.example/siskinloom/internal/dispatch"
+	"siskinloom.example/siskinloom/internal/agentless/directory"
+	"siskinloom.example/siskinloom/internal/agentless/dispatch"
+	"siskinloom.example/siskinloom/internal/agentless/upstream"
 	"siskinloom.example/siskinloom/internal/events"
 	"siskinloom.example/siskinloom/internal/policy/batch"
 	"siskinloom.example/siskinloom/internal/policy/endpoints"
 	"siskinloom.example/siskinloom/internal/policy/routes"
-	"siskinloom.example/siskinloom/internal/upstream"
 )
 
 const (
--- a/internal/batchrun/sinks.go
+++ b/internal/agentless/batchrun/sinks.go
@@ -1,8 +1,8 @@
 package batchrun
 
 import (
+	"siskinloom.example/siskinloom/internal/agentless/textlog"
 	"siskinloom.example/siskinloom/internal/policy/batch"
-	"siskinloom.example/siskinloom/internal/textlog"
 )
 
 // sinks are where the events of texts under way go besides the job itself. All
--- a/internal/batchrun/starts.go
+++ b/internal/agentless/batchrun/starts.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"siskinloom.example/siskinloom/internal/directory"
-	"siskinloom.example/siskinloom/internal/mechanism"
+	"siskinloom.example/siskinloom/internal/agentless/directory"
+	"siskinloom.example/siskinloom/internal/agentless/mechanism"
 	"siskinloom.example/siskinloom/internal/policy/batch"
 	"siskinloom.example/siskinloom/internal/policy/endpoints"
 	"siskinloom.example/siskinloom/internal/policy/routes"
--- a/internal/cluster/cluster_test.go
+++ b/internal/agentless/cluster/cluster_test.go
@@ -12,7 +12,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/sirupsen/logrus"
 
-	"siskinloom.example/siskinloom/internal/cluster"
+	"siskinloom.example/siskinloom/internal/agentless/cluster"
 	"siskinloom.example/siskinloom/internal/kv"
 	"siskinloom.example/siskinloom/internal/rpcpool"
 	"siskinloom.example/siskinloom/internal/standin"
--- a/internal/dispatch/dispatch.go
+++ b/internal/agentless/dispatch/dispatch.go
@@ -8,8 +8,8 @@
 	"net/http"
 	"time"
 
-	"siskinloom.example/siskinloom/internal/deployment"
-	"siskinloom.example/siskinloom/internal/sse"
+	"siskinloom.example/siskinloom/internal/agentless/deployment"
+	"siskinloom.example/siskinloom/internal/agentless/sse"
 )
 
 // Request is a request to an endpoint.
--- a/internal/mechanism/mechanism_test.go
+++ b/internal/agentless/mechanism/mechanism_test.go
@@ -7,7 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"siskinloom.example/siskinloom/internal/mechanism"
+	"siskinloom.example/siskinloom/internal/agentless/mechanism"
 )
 
 var _ = Describe("the settings of mechanisms", func() {
@@ -54,7 +54,7 @@
 
 var _ = Describe("the operators' page", func() {
 	It("names every mechanism", func() {
-		page, err := os.ReadFile("../../docs/operators/mechanisms.md")
+		page, err := os.ReadFile("../../../docs/operators/mechanisms.md")
 		Expect(err).NotTo(HaveOccurred())
 		for _, m := range mechanism.All() {
 			Expect(string(page)).To(ContainSubstring("| `" + string(m) + "` |"))
--- a/internal/modelrun/modelrun.go
+++ b/internal/agentless/modelrun/modelrun.go
@@ -11,11 +11,11 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
-	"siskinloom.example/siskinloom/internal/cluster"
-	"siskinloom.example/siskinloom/internal/deployment"
-	"siskinloom.example/siskinloom/internal/directory"
+	"siskinloom.example/siskinloom/internal/agentless/cluster"
+	"siskinloom.example/siskinloom/internal/agentless/deployment"
+	"siskinloom.example/siskinloom/internal/agentless/directory"
+	"siskinloom.example/siskinloom/internal/agentless/mechanism"
 	"siskinloom.example/siskinloom/internal/events"
-	"siskinloom.example/siskinloom/internal/mechanism"
 	"siskinloom.example/siskinloom/internal/policy/modelplan"
 )
 
--- a/internal/modelrun/modelrun_test.go
+++ b/internal/agentless/modelrun/modelrun_test.go
@@ -12,10 +12,10 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
-	"siskinloom.example/siskinloom/internal/cluster"
-	"siskinloom.example/siskinloom/internal/deployment"
-	"siskinloom.example/siskinloom/internal/directory"
-	"siskinloom.example/siskinloom/internal/modelrun"
+	"siskinloom.example/siskinloom/internal/agentless/cluster"
+	"siskinloom.example/siskinloom/internal/agentless/deployment"
+	"siskinloom.example/siskinloom/internal/agentless/directory"
+	"siskinloom.example/siskinloom/internal/agentless/modelrun"
 	"siskinloom.example/siskinloom/internal/standin"
 )
 
--- a/internal/modelrun/rpc.go
+++ b/internal/agentless/modelrun/rpc.go
@@ -7,7 +7,7 @@
 
 	"github.com/pkg/errors"
 
-	"siskinloom.example/siskinloom/internal/cluster"
+	"siskinloom.example/siskinloom/internal/agentless/cluster"
 	"siskinloom.example/siskinloom/internal/rpcpool"
 )
 
--- a/internal/netcount/netcount_test.go
+++ b/internal/agentless/netcount/netcount_test.go
@@ -8,7 +8,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/rcrowley/go-metrics"
 
-	"siskinloom.example/siskinloom/internal/netcount"
+	"siskinloom.example/siskinloom/internal/agentless/netcount"
 )
 
 var _ = Describe("the bytes of connections", func() {
--- a/internal/node/views.go
+++ b/internal/agentless/node/views.go
@@ -11,9 +11,9 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
-	"siskinloom.example/siskinloom/internal/batchrun"
-	"siskinloom.example/siskinloom/internal/cluster"
-	"siskinloom.example/siskinloom/internal/deployment"
+	"siskinloom.example/siskinloom/internal/agentless/batchrun"
+	"siskinloom.example/siskinloom/internal/agentless/cluster"
+	"siskinloom.example/siskinloom/internal/agentless/deployment"
 	"siskinloom.example/siskinloom/internal/events"
 	"siskinloom.example/siskinloom/internal/kv"
 )
--- a/internal/sse/sse_test.go
+++ b/internal/agentless/sse/sse_test.go
@@ -8,7 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"siskinloom.example/siskinloom/internal/sse"
+	"siskinloom.example/siskinloom/internal/agentless/sse"
 )
 
 var _ = Describe("reading events", func() {
--- a/internal/storepath/relay.go
+++ b/internal/agentless/storepath/relay.go
@@ -7,7 +7,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
-	"siskinloom.example/siskinloom/internal/cluster"
+	"siskinloom.example/siskinloom/internal/agentless/cluster"
 	"siskinloom.example/siskinloom/internal/events"
 	"siskinloom.example/siskinloom/internal/kv"
 	"siskinloom.example/siskinloom/internal/rpcpool"
--- a/internal/storepath/store.go
+++ b/internal/agentless/storepath/store.go
@@ -11,10 +11,10 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
-	"siskinloom.example/siskinloom/internal/cluster"
+	"siskinloom.example/siskinloom/internal/agentless/cluster"
+	"siskinloom.example/siskinloom/internal/agentless/mechanism"
 	"siskinloom.example/siskinloom/internal/events"
 	"siskinloom.example/siskinloom/internal/kv"
-	"siskinloom.example/siskinloom/internal/mechanism"
 	policy "siskinloom.example/siskinloom/internal/policy/storepath"
 	"siskinloom.example/siskinloom/internal/rpcpool"
 )
--- a/internal/storepath/storepath_test.go
+++ b/internal/agentless/storepath/storepath_test.go
@@ -16,11 +16,11 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
-	"siskinloom.example/siskinloom/internal/cluster"
+	"siskinloom.example/siskinloom/internal/agentless/cluster"
+	"siskinloom.example/siskinloom/internal/agentless/storepath"
 	"siskinloom.example/siskinloom/internal/kv"
 	"siskinloom.example/siskinloom/internal/rpcpool"
 	"siskinloom.example/siskinloom/internal/standin"
-	"siskinloom.example/siskinloom/internal/storepath"
 )
 
 func TestSuite(t *testing.T) {
--- a/internal/textlog/textlog_test.go
+++ b/internal/agentless/textlog/textlog_test.go
@@ -15,8 +15,8 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"siskinloom.example/siskinloom/internal/agentless/textlog"
 	"siskinloom.example/siskinloom/internal/policy/batch"
-	"siskinloom.example/siskinloom/internal/textlog"
 )
 
 const patience = 20 * time.Second
--- a/internal/upstream/pool.go
+++ b/internal/agentless/upstream/pool.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"siskinloom.example/siskinloom/internal/netcount"
+	"siskinloom.example/siskinloom/internal/agentless/netcount"
 	"siskinloom.example/siskinloom/internal/netdial"
 )
 
--- a/internal/upstream/upstream_test.go
+++ b/internal/agentless/upstream/upstream_test.go
@@ -14,7 +14,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"siskinloom.example/siskinloom/internal/upstream"
+	"siskinloom.example/siskinloom/internal/agentless/upstream"
 )
 
 // scripted is an endpoint that answers each request of a connection with the
