Tell of a part that comes to be needed what listings without it left out

A process that has listed all endpoints and is then sent those of its services takes the others for gone, at the revision of that listing. When a declaration sends requests to such a service later its endpoints, unchanged since, were taken for older than their end. Ruled out: forgetting all ends: a scout that lags behind would bring back an endpoint that has left. Change: ends that a listing only implies are forgotten when a topic is widened; ends that were told are kept. Endpoints of services that a process does not need leave its directory without a line. The call for news has a new name, as processes of the release before would take its answers for no news.

--- a/internal/agentless/cluster/relay.go
+++ b/internal/agentless/cluster/relay.go
@@ -14,7 +14,7 @@
 // Names of the calls between processes.
 const (
 	relayName = "News"
-	callNews  = relayName + ".Await"
+	callNews  = relayName + ".After"
 )
 
 const (
@@ -114,8 +114,8 @@
 // RelayService takes other processes' calls.
 type RelayService struct{ relay *Relay }
 
-// Await implements the call of that name.
-func (s *RelayService) Await(args NewsArgs, reply *NewsReply) error {
+// After implements the call of that name: news after a position.
+func (s *RelayService) After(args NewsArgs, reply *NewsReply) error {
 	*reply = s.relay.await(args)
 	return nil
 }
--- a/internal/agentless/cluster/subscribe.go
+++ b/internal/agentless/cluster/subscribe.go
@@ -169,7 +169,7 @@
 		return
 	}
 	if needed, known := topic.Scopes(); known && !covers(s.scopes[topic], needed) {
-		topic.restart()
+		topic.widen()
 		delete(s.scopes, topic)
 	}
 }
@@ -259,6 +259,7 @@
 			}
 			interest.Scopes = scopes
 			if !covers(s.scopes[t], scopes) {
+				t.widen()
 				interest.AsOf = 0
 			}
 		}
--- a/internal/agentless/cluster/topic.go
+++ b/internal/agentless/cluster/topic.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"maps"
 	"strings"
 	"sync"
 
@@ -38,8 +39,14 @@
 
 	mu    sync.Mutex
 	known map[string]int64 // revision by key
-	gone  map[string]int64 // revision at which a key went
-	asOf  int64            // everything up to it was told; 0: unknown
+	gone  map[string]tombstone
+	asOf  int64 // everything up to it was told; 0: unknown
+}
+
+// tombstone is what is remembered of a key that went.
+type tombstone struct {
+	revision int64 // at which it went, at the latest
+	inferred bool  // from a listing that lacked it, and not told as such
 }
 
 // carrier returns the prefix under which relays carry the topic.
@@ -57,7 +64,7 @@
 		t.known = map[string]int64{}
 	}
 	if t.gone == nil || len(t.gone) > mostTombstones {
-		t.gone = map[string]int64{}
+		t.gone = map[string]tombstone{}
 	}
 }
 
@@ -75,6 +82,15 @@
 	t.asOf = 0
 }
 
+// widen has the topic be listed anew with parts that were left out so far. A key that
+// a listing lacked may have been of such a part and never have gone.
+func (t *Topic) widen() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.asOf = 0
+	maps.DeleteFunc(t.gone, func(_ string, g tombstone) bool { return g.inferred })
+}
+
 // reached notes that everything up to a revision was told.
 func (t *Topic) reached(asOf int64) {
 	t.mu.Lock()
@@ -90,15 +106,15 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.init()
-	t.tellLocked(c)
+	t.tellLocked(c, false)
 	if t.Part != nil && strings.HasPrefix(c.Record.Key, t.Part.Prefix) {
 		t.Part.tell(c)
 	}
 }
 
-func (t *Topic) tellLocked(c kv.Change) {
+func (t *Topic) tellLocked(c kv.Change, inferred bool) {
 	r := c.Record
-	if r.Revision <= t.known[r.Key] || r.Revision <= t.gone[r.Key] {
+	if r.Revision <= t.known[r.Key] || r.Revision <= t.gone[r.Key].revision {
 		return
 	}
 	if t.Relay != nil {
@@ -106,7 +122,7 @@
 	}
 	if c.Deleted {
 		delete(t.known, r.Key)
-		t.gone[r.Key] = r.Revision
+		t.gone[r.Key] = tombstone{r.Revision, inferred}
 		if t.Deleted != nil {
 			t.Deleted(r.Key, r.Revision)
 		}
@@ -131,11 +147,11 @@
 	}
 	for _, r := range page.Records {
 		present[r.Key] = true
-		t.tellLocked(kv.Change{Record: r})
+		t.tellLocked(kv.Change{Record: r}, false)
 	}
 	for key, revision := range t.known {
 		if !present[key] && revision <= page.AsOf {
-			t.tellLocked(kv.Change{Record: kv.Record{Key: key, Revision: max(page.AsOf, revision+1)}, Deleted: true})
+			t.tellLocked(kv.Change{Record: kv.Record{Key: key, Revision: max(page.AsOf, revision+1)}, Deleted: true}, true)
 		}
 	}
 	t.asOf = max(t.asOf, page.AsOf)
--- a/internal/agentless/directory/directory.go
+++ b/internal/agentless/directory/directory.go
@@ -274,6 +274,13 @@
 	return list
 }
 
+// ServiceOf returns the service of an endpoint, empty if it is not listed.
+func (d *Directory) ServiceOf(id string) string {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.homes[id]
+}
+
 // Counts returns how many endpoints each service has.
 func (d *Directory) Counts() map[string]int {
 	d.mu.RLock()
--- a/internal/agentless/node/views.go
+++ b/internal/agentless/node/views.go
@@ -146,6 +146,15 @@
 	return slices.Compact(services), true
 }
 
+// needs tells whether this process sends requests to a service.
+func (n *Node) needs(service string) bool {
+	if n.settings.Worker {
+		return true
+	}
+	services, known := n.neededServices()
+	return !known || services == nil || slices.Contains(services, service)
+}
+
 // followed is a topic with the wait of its watch and the time for which its
 // changes are gathered.
 type followed struct {
@@ -303,6 +312,10 @@
 
 func (n *Node) endpointGone(key string, revision int64) {
 	id := strings.TrimPrefix(key, n.adapter.Keys.Endpoints)
+	if !n.needs(n.directory.ServiceOf(id)) {
+		n.directory.Remove(id) // it may live on; nothing is sent there from here
+		return
+	}
 	unsettled := n.trouble.recent()
 	events.EndpointGone.Log(n.log, logrus.Fields{"endpoint": id, "revision": revision, "lingers": unsettled})
 	if !unsettled {
