--- a/internal/agentless/batchrun/adopt.go
+++ b/internal/agentless/batchrun/adopt.go
@@ -39,8 +39,10 @@
 	go o.adopt(o.lifetime, mark)
 }
 
-// remark writes the mark anew if it still has the revision. The follower then
-// tells the new one, and the job is loaded with all results that are durable.
+// remark writes the mark anew if it still has the revision, and takes the job on
+// under the new one, with all results that are durable. When all processes have been
+// killed nobody follows the marks for this one yet, and to wait for news of the mark
+// costs its step half a second. If the write's answer is lost the news will tell it.
 func (o *Owner) remark(ctx context.Context, id string, revision int64) {
 	raw, err := encode(todoMark{})
 	if err != nil {
@@ -49,9 +51,13 @@
 	}
 	key := todoKey(o.Name, id)
 	for ctx.Err() == nil {
-		_, err := o.Store.Commit(ctx, kv.Transaction{Expect: []kv.Expectation{{Key: key, Revision: revision}}, Puts: []kv.Put{{Key: key, Value: raw}}})
-		if err == nil {
-			return // written now or by a try whose answer was lost, or not ours any more
+		committed, err := o.Store.Commit(ctx, kv.Transaction{Expect: []kv.Expectation{{Key: key, Revision: revision}}, Puts: []kv.Put{{Key: key, Value: raw}}})
+		switch {
+		case err == nil && committed.Done:
+			o.adopt(ctx, kv.Record{Key: key, Value: raw, Revision: committed.Revision})
+			return
+		case err == nil:
+			return // written by a try whose answer was lost, or not ours any more
 		}
 		pause(ctx, retryWrite)
 	}
--- a/internal/agentless/batchrun/batchrun_test.go
+++ b/internal/agentless/batchrun/batchrun_test.go
@@ -30,6 +30,14 @@
 	return s
 }
 
+// untold is a store whose watches tell nothing.
+type untold struct{ kv.Shared }
+
+func (u *untold) Await(ctx context.Context, _ string, _ int64, _ time.Duration) (kv.Changes, error) {
+	<-ctx.Done()
+	return kv.Changes{}, ctx.Err()
+}
+
 func readAll(d *batchrun.Desk, id string) ([]batch.Result, error) {
 	var all []batch.Result
 	for {
@@ -207,6 +215,18 @@
 		Eventually(results(other, "j")).WithTimeout(patience).Should(Equal(2))
 	})
 
+	It("goes on at the same process after a restart before anybody tells it of marks", func() {
+		// All processes were killed and start again: nobody follows the store for the
+		// others yet. The process lists its marks, writes them anew and takes its jobs on.
+		llm.hold = make(chan struct{})
+		Expect(a.desk.Submit(context.Background(), spec("j", 2))).To(Succeed())
+		owner, _ := owned("j")
+		owner.stop()
+		again := newProcess(owner.name, &untold{Shared: store}, llm).run()
+		Eventually(again.owner.Jobs).WithTimeout(patience).Should(HaveKey("j"))
+		close(llm.hold)
+	})
+
 	It("goes to an owner that answers when the one it was accepted for does not", func() {
 		// What happens: the owner died while the store was away, so its registration
 		// still stands when the next job is accepted for it. The trainer sees results
--- a/internal/agentless/textlog/export_test.go
+++ b/internal/agentless/textlog/export_test.go
@@ -1,6 +1,10 @@
 package textlog
 
-import "io"
+import (
+	"io"
+
+	"siskinloom.example/siskinloom/internal/policy/batch"
+)
 
 // File is an open file as tests put it in the place of the disk's.
 type File interface {
@@ -12,3 +16,11 @@
 func (l *Log) SetCreate(create func(path string) (File, error)) {
 	l.dir.create = func(path string) (file, error) { return create(path) }
 }
+
+// Read joins what the raw bytes of a job's file hold, and returns the places of what
+// could not be used.
+func Read(job string, raw []byte) (texts *batch.Texts, bad []string) {
+	texts = batch.NewTexts()
+	read(job, "file", raw, texts, func(place string, _ error) { bad = append(bad, place) })
+	return texts, bad
+}
