--- /dev/null
+++ b/internal/agentless/batchrun/helpers_test.go
@@ -0,0 +1,69 @@
+package batchrun_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"siskinloom.example/siskinloom/internal/agentless/batchrun"
+	"siskinloom.example/siskinloom/internal/kv"
+	"siskinloom.example/siskinloom/internal/policy/batch"
+)
+
+func spec(id string, items int) *batch.Spec {
+	now := time.Now()
+	s := &batch.Spec{ID: id, Host: "h", Model: "m", MinVersion: 5, MaxAttempts: 3, Submitted: now, Due: now.Add(time.Minute), Expires: now.Add(time.Hour)}
+	for i := range items {
+		item := fmt.Sprintf("i%d", i)
+		s.Items = append(s.Items, batch.Item{ID: item, Path: "/items/x", Body: bytes.Repeat([]byte{byte(i)}, 40), Group: "g",
+			Scorer: &batch.Scorer{ID: "s" + item, Host: "h", Path: "/score/x"}})
+	}
+	return s
+}
+
+// untold is a store whose watches tell nothing.
+type untold struct{ kv.Shared }
+
+func (u *untold) Await(ctx context.Context, _ string, _ int64, _ time.Duration) (kv.Changes, error) {
+	<-ctx.Done()
+	return kv.Changes{}, ctx.Err()
+}
+
+func readAll(d *batchrun.Desk, id string) ([]batch.Result, error) {
+	var all []batch.Result
+	for {
+		reading, err := d.Results(context.Background(), id, len(all), 0)
+		if err != nil {
+			return all, err
+		}
+		all = append(all, reading.Results...)
+		if len(all) >= reading.Total || len(reading.Results) == 0 {
+			return all, nil
+		}
+	}
+}
+
+func results(p *process, id string) func() int {
+	return func() int {
+		all, err := readAll(p.desk, id)
+		if err != nil {
+			return -1
+		}
+		return len(all)
+	}
+}
+
+func checkResults(all []batch.Result) {
+	seen := map[string]bool{}
+	for _, r := range all {
+		ExpectWithOffset(1, seen[r.Item]).To(BeFalse(), "%s twice", r.Item)
+		seen[r.Item] = true
+		ExpectWithOffset(1, r.State).To(Equal(batch.Completed))
+		ExpectWithOffset(1, string(r.Output)).To(Equal("e1\ne2\ne3\ne4"))
+		ExpectWithOffset(1, r.Versions).To(Equal([]int64{5}))
+		ExpectWithOffset(1, r.Score).To(Equal("seal-s" + r.Item))
+	}
+}
--- /dev/null
+++ b/internal/agentless/cluster/leader_test.go
@@ -0,0 +1,78 @@
+package cluster_test
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"siskinloom.example/siskinloom/internal/agentless/cluster"
+	"siskinloom.example/siskinloom/internal/kv"
+	"siskinloom.example/siskinloom/internal/standin"
+)
+
+var _ = Describe("a duty", func() {
+	lead := func(store kv.Shared, name string, apart time.Duration) *cluster.Leader {
+		l := cluster.NewLeader(store, "live/duty/x", name, apart, 0, func() bool { return true }, func(bool, int64) {})
+		start(l.Run)
+		return l
+	}
+	acts := func(l *cluster.Leader) func() bool {
+		return func() bool { _, ok := l.Term(time.Now()); return ok }
+	}
+
+	It("has one holder, whose successor gets a higher term", func() {
+		store := standin.NewShared()
+		first := lead(store, "a", 0)
+		Eventually(acts(first)).WithTimeout(patience).Should(BeTrue())
+		second := lead(store, "b", 0)
+		Consistently(acts(second)).Should(BeFalse())
+		before, _ := first.Term(time.Now())
+		Expect(first.End(context.Background())).To(Succeed())
+		second.Vacant()
+		Eventually(acts(second)).WithTimeout(patience).Should(BeTrue())
+		after, _ := second.Term(time.Now())
+		Expect(after).To(BeNumerically(">", before))
+	})
+
+	It("is taken over at once by a new process on the same machine", func() {
+		// The process was killed and is back after a second. The lease of its
+		// predecessor stands for some more; waiting it out, and the time between two
+		// holders after it, left engines without new weights for 6 s.
+		store := standin.NewShared()
+		_, _, err := store.GrantLease(context.Background(), time.Hour)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = store.Commit(context.Background(), kv.Transaction{Puts: []kv.Put{{Key: "live/duty/x", Value: []byte("a"), Lease: 1}}})
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(acts(lead(store, "a", time.Hour))).WithTimeout(patience).Should(BeTrue())
+	})
+
+	It("is not acted on by a holder whose key the store took away", func() {
+		store := standin.NewShared()
+		l := lead(store, "a", 0)
+		Eventually(acts(l)).WithTimeout(patience).Should(BeTrue())
+		term, _ := l.Term(time.Now())
+		confirmed, ok := l.Confirm(context.Background())
+		Expect(ok).To(BeTrue())
+		Expect(confirmed).To(Equal(term))
+		store.Revoke("live/duty/x")
+		_, ok = l.Confirm(context.Background())
+		Expect(ok).To(BeFalse())
+	})
+
+	It("is not acted on while the store does not confirm it", func() {
+		store := standin.NewShared()
+		l := lead(store, "a", 0)
+		Eventually(acts(l)).WithTimeout(patience).Should(BeTrue())
+		store.SetDown(true)
+		_, ok := l.Confirm(context.Background())
+		Expect(ok).To(BeFalse())
+		Eventually(acts(l)).WithTimeout(patience).Should(BeFalse())
+	})
+
+	It("waits before the first act when another holder may just have acted", func() {
+		store := standin.NewShared()
+		Consistently(acts(lead(store, "b", time.Hour))).WithTimeout(time.Second).Should(BeFalse())
+	})
+})
--- /dev/null
+++ b/internal/agentless/cluster/members_test.go
@@ -0,0 +1,61 @@
+package cluster_test
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"siskinloom.example/siskinloom/internal/agentless/cluster"
+	"siskinloom.example/siskinloom/internal/standin"
+)
+
+var _ = Describe("registration", func() {
+	It("is made anew when the store took the key away without a word", func() {
+		// Lease and renewals look fine; only the key is gone. Others would move this
+		// process's jobs and never give it new ones.
+		store := standin.NewShared()
+		members := cluster.NewMembers()
+		r := cluster.NewRegistrar(store, cluster.Member{Name: "self", Worker: true}, time.Hour, members, silent())
+		start((&cluster.Follower{Store: store, Topic: r.Topic()}).Run)
+		start(r.Run)
+		listed := func() bool { _, found := members.Get("self"); return found }
+		Eventually(listed).WithTimeout(patience).Should(BeTrue())
+		store.Revoke("live/members/self")
+		Eventually(func() int { return store.Count("lease") }).WithTimeout(patience).Should(Equal(2))
+		Eventually(listed).WithTimeout(patience).Should(BeTrue())
+	})
+
+	It("stands though the store's answer to it was lost", func() {
+		// The key is there, under this process's lease; only the answer was lost. Taken
+		// for a failure, the process would begin anew and let its first key lapse.
+		store := standin.NewShared()
+		r := cluster.NewRegistrar(store, cluster.Member{Name: "self"}, time.Hour, cluster.NewMembers(), silent())
+		store.LoseAnswers(1)
+		start(r.Run)
+		Eventually(func() int { return store.Count("commit") }).WithTimeout(patience).Should(Equal(1))
+		Consistently(func() int { return store.Count("lease") }).WithTimeout(time.Second).Should(Equal(1))
+	})
+
+	It("gives work to workers that stay, and to others only if there is none", func() {
+		store := standin.NewShared()
+		members := cluster.NewMembers()
+		r := cluster.NewRegistrar(store, cluster.Member{Name: "w", Worker: true}, time.Hour, members, silent())
+		entry := cluster.NewRegistrar(store, cluster.Member{Name: "entry"}, time.Hour, cluster.NewMembers(), silent())
+		start((&cluster.Follower{Store: store, Topic: r.Topic()}).Run)
+		start(r.Run)
+		start(entry.Run)
+		names := func() []string {
+			var list []string
+			for _, m := range members.Owners() {
+				list = append(list, m.Name)
+			}
+			return list
+		}
+		Eventually(func() int { return len(members.Live()) }).WithTimeout(patience).Should(Equal(2))
+		Expect(names()).To(Equal([]string{"w"}))
+		Expect(r.Leave(context.Background())).To(Succeed())
+		Eventually(names).WithTimeout(patience).Should(Equal([]string{"entry"}))
+	})
+})
