--- a/internal/lab/fleetnews/fleetnews.go
+++ b/internal/lab/fleetnews/fleetnews.go
@@ -38,7 +38,7 @@
 	listSeed       = 17
 )
 
-const prefix = "servers/"
+const prefix = "endpoints/"
 
 // Bounds lists the package's measurements.
 func Bounds() []bounds.Measurement {
