Take back the wait of callers at a process that has just started

Ruled out: the body read late. Change: as before: a process without routes refuses at once and says when to come back. Conclusion: reverted.

--- a/internal/agentless/node/node.go
+++ b/internal/agentless/node/node.go
@@ -63,8 +63,6 @@
 	Gate     *gate.Gate
 	Desk     *batchrun.Desk
 	Stopping func() bool
-	// Await keeps a caller of a process that has just started until it can serve.
-	Await func(ctx context.Context)
 }
 
 // Adapter connects the process to one kind of platform.
@@ -128,7 +126,6 @@
 	trouble   storeTrouble
 
 	lingering lingering
-	starting  *starting
 	listed    atomic.Bool  // the endpoints are known
 	newest    atomic.Int64 // revision of the newest endpoint's entry; its topic writes it
 	stopping  atomic.Bool
@@ -137,7 +134,7 @@
 // New puts a process together. Mechanisms that switches name as out are left out
 // from then on; nil leaves out none.
 func New(s Settings, a Adapter, switches *mechanism.Switches, log *logrus.Logger, registry metrics.Registry) *Node {
-	n := &Node{settings: s, adapter: a, log: log, registry: registry, members: cluster.NewMembers(), starting: newStarting()}
+	n := &Node{settings: s, adapter: a, log: log, registry: registry, members: cluster.NewMembers()}
 	n.directory = directory.New(s.ID, s.FailureDomain, a.Forget)
 	n.directory.Switches = switches
 	inner := net.JoinHostPort(s.IP, strconv.Itoa(s.InnerPort))
@@ -228,13 +225,6 @@
 	return !n.stopping.Load() && n.listed.Load() && n.directory.Table() != nil
 }
 
-// noteReady lets callers on that wait for the process to know the fleet.
-func (n *Node) noteReady() {
-	if n.Ready() {
-		n.starting.done()
-	}
-}
-
 // Run serves until ctx ends, then stops gracefully.
 func (n *Node) Run(ctx context.Context) error {
 	work, stop := context.WithCancel(context.Background())
@@ -306,10 +296,7 @@
 	}
 	group.Go(func() error { return serveCalls(ctx, calls, inner) })
 	if n.settings.Callers != "" {
-		handler := n.adapter.Ingress(Parts{
-			Gate: n.gate, Desk: n.desk, Stopping: n.stopping.Load,
-			Await: func(ctx context.Context) { n.starting.await(ctx, startWait) },
-		})
+		handler := n.adapter.Ingress(Parts{Gate: n.gate, Desk: n.desk, Stopping: n.stopping.Load})
 		if s.callers, err = n.serveHTTP(group, n.settings.Callers, handler); err != nil {
 			return nil, err
 		}
--- a/internal/agentless/node/views.go
+++ b/internal/agentless/node/views.go
@@ -264,7 +264,6 @@
 		return
 	}
 	if n.directory.Declare(declaration) {
-		n.noteReady()
 		events.Declared.Log(n.log, logrus.Fields{"version": declaration.Version, "revision": r.Revision, "routes": len(declaration.Routes)})
 	}
 }
@@ -306,7 +305,6 @@
 // newest revision its line tells; a line for each of a thousand at each process would
 // hide all else that a start has to tell.
 func (n *Node) endpointsListed() {
-	defer n.noteReady()
 	if !n.listed.Swap(true) {
 		events.EndpointsTaken.Log(n.log, logrus.Fields{"endpoints": n.directory.Counts(), "revision": n.newest.Load()})
 	}
