--- a/internal/agentless/cluster/members.go
+++ b/internal/agentless/cluster/members.go
@@ -174,9 +174,8 @@
 	return &Topic{Prefix: prefixLive, Changed: r.changed, Deleted: r.deleted, Synced: r.listedAll}
 }
 
-// listedAll notes that a list was taken in. The first one gets one line: with a line
-// for each of hundreds of processes at each of them, a start of the system or the
-// end of an outage was all that the logs told of.
+// listedAll notes that a list was taken in. The first one gets one line: a line for
+// each of hundreds of processes at each of them would hide all else.
 func (r *Registrar) listedAll() {
 	if r.synced {
 		return
--- a/internal/agentless/cluster/subscribe.go
+++ b/internal/agentless/cluster/subscribe.go
@@ -131,9 +131,9 @@
 }
 
 // direct asks the store itself once for each topic, from where it stands. In an
-// outage of the store no scout has fresh news either: one call then tells that, as
-// hundreds of processes each tried every topic again and again, and listed all of
-// them when the store was back.
+// outage of the store no scout has fresh news either, and all processes come here at
+// once: one call of each then tells that the store is away, and nothing is listed
+// when it is back.
 func (s *Subscriber) direct(ctx context.Context) {
 	s.note("store", nil)
 	if !s.round(ctx, 0, isMembers) {
--- a/internal/agentless/node/views.go
+++ b/internal/agentless/node/views.go
@@ -122,8 +122,8 @@
 
 // neededServices returns the services whose endpoints this process sends requests
 // to, nil for all, and whether the routes are known yet. Items of batch jobs are run
-// by their owners: the endpoints of their services are many and change with every
-// load of weights, and each change went to every entry of the fleet.
+// by their owners, so that an entry need not hear of the endpoints of their services,
+// which are many and change with every load of weights.
 func (n *Node) neededServices() (services []string, known bool) {
 	table := n.directory.Table()
 	switch {
@@ -301,9 +301,9 @@
 	event.Log(n.log, logrus.Fields{"endpoint": endpoint.ID, "service": endpoint.Service, "address": endpoint.Address, "versions": endpoint.Versions, "revision": r.Revision})
 }
 
-// endpointsListed notes that a list of the endpoints was taken in, whose number and
-// newest revision its line tells; a line for each of a thousand at each process would
-// hide all else that a start has to tell.
+// endpointsListed notes that a list of the endpoints was taken in. The first one gets
+// one line, with how many there are and their newest revision: a line for each of a
+// thousand at each process would hide all else that a start has to tell.
 func (n *Node) endpointsListed() {
 	if !n.listed.Swap(true) {
 		events.EndpointsTaken.Log(n.log, logrus.Fields{"endpoints": n.directory.Counts(), "revision": n.newest.Load()})
--- a/internal/policy/storepath/path.go
+++ b/internal/policy/storepath/path.go
@@ -105,8 +105,8 @@
 
 // PeersCutOff notes that those who follow the store for others do not hear from
 // it. They are who would be asked first, and every process learns it at the same
-// moment: with each of them asking two more, an outage began with three times as
-// many calls to the store as there are processes.
+// moment: if each asked them too, an outage would begin with several times as many
+// calls to the store as there are processes.
 func (p *Path) PeersCutOff(now time.Time) {
 	p.cutOff = true
 	if until := now.Add(firstPause); !p.relaying && until.After(p.until) {
