Answer readers of an ended job with what its owner had last

The process keeps an ended or lost job's results for readers, found what it had kept when it lost the job the first time, nothing, and answered with that, though 83 results had been read. Traced by lines at each read. Ruled out: the frozen owner that woke up later (its answer does not count); the news of marks; caches of the entries. Change: what is kept of a job goes when it is taken on again, and when more is kept. The spec fails without the change.

--- a/internal/agentless/batchrun/adopt.go
+++ b/internal/agentless/batchrun/adopt.go
@@ -194,6 +194,7 @@
 	owned := &ownedJob{id: id, mark: mark, parts: loaded.parts, job: job, readers: make(chan struct{})}
 	owned.ctx, owned.cancel = context.WithCancel(ctx)
 	o.jobs[id] = owned
+	o.ended.forget(id)
 	o.configure(job)
 	resumed := o.resume(owned, loaded.texts)
 	_, _, _, done := job.Counts()
--- a/internal/agentless/batchrun/batchrun_test.go
+++ b/internal/agentless/batchrun/batchrun_test.go
@@ -170,6 +170,29 @@
 		close(llm.hold)
 	})
 
+	It("is read whole after its end at an owner that had lost it and got it back", func() {
+		// The job moves to another process before anything of it is listed, and returns.
+		// Once it has ended its owner answers readers from memory: with what it had when
+		// the job ended, not with the nothing that it had when it lost the job before.
+		llm.hold = make(chan struct{})
+		Expect(a.desk.Submit(context.Background(), spec("j", 3))).To(Succeed())
+		owner, other := owned("j")
+		Expect(other.mover.MoveAll(context.Background(), owner.name)).To(Succeed())
+		Eventually(other.owner.Jobs).WithTimeout(patience).Should(HaveKey("j"))
+		Eventually(owner.owner.Jobs).WithTimeout(patience).ShouldNot(HaveKey("j"))
+		Expect(owner.mover.MoveAll(context.Background(), other.name)).To(Succeed())
+		Eventually(owner.owner.Jobs).WithTimeout(patience).Should(HaveKey("j"))
+		close(llm.hold)
+		Eventually(results(owner, "j")).WithTimeout(patience).Should(Equal(3))
+		Expect(other.desk.End(context.Background(), "j")).To(Succeed())
+		Eventually(owner.owner.Jobs).WithTimeout(patience).ShouldNot(HaveKey("j"))
+		store.SetDown(true)
+		defer store.SetDown(false)
+		all, err := readAll(other.desk, "j")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(all).To(HaveLen(3))
+	})
+
 	It("goes to an owner that answers when the one it was accepted for does not", func() {
 		// What happens: the owner died while the store was away, so its registration
 		// still stands when the next job is accepted for it. The trainer sees results
--- a/internal/agentless/batchrun/ended.go
+++ b/internal/agentless/batchrun/ended.go
@@ -1,6 +1,7 @@
 package batchrun
 
 import (
+	"slices"
 	"time"
 
 	"siskinloom.example/siskinloom/internal/policy/batch"
@@ -52,14 +53,21 @@
 }
 
 // keep keeps the results of a job that was ended, so that readers of it make no
-// calls to the store: at forty machines each made one for each such job.
+// calls to the store.
 func (e *endedJobs) keep(now time.Time, k keptResults) {
+	e.forget(k.id)
 	for len(e.kept) > 0 && (len(e.kept) >= mostKept || now.Sub(e.kept[0].submitted) > e.life) {
 		e.kept = e.kept[1:]
 	}
 	e.kept = append(e.kept, k)
 }
 
+// forget drops what is kept of a job that this process takes on again: it is what it
+// had when it lost the job before, and less than what readers will have seen.
+func (e *endedJobs) forget(id string) {
+	e.kept = slices.DeleteFunc(e.kept, func(old keptResults) bool { return old.id == id })
+}
+
 // results returns what is kept of a job.
 func (e *endedJobs) results(id string) (keptResults, bool) {
 	for _, k := range e.kept {
