An end looks at a copy of what is remembered of its job

Cause: Desk.remembered handed out the shared record of a job and End read its Ended outside the lock, while a read or an acceptance at the same process writes the record under it. Ruled out: locking in End, which would leave two ways to look at a record. No wrong answer was traced to it.

--- a/internal/agentless/batchrun/desk.go
+++ b/internal/agentless/batchrun/desk.go
@@ -76,7 +76,7 @@
 // Submit accepts a job. nil means that it is durable; ErrNotRun that no part of
 // it runs; ErrOutcomeUnknown that nobody can tell.
 func (d *Desk) Submit(ctx context.Context, spec *batch.Spec) error {
-	if d.remembered(spec.ID) != nil {
+	if d.snapshot(spec.ID) != nil {
 		return nil
 	}
 	parts, err := specParts(spec, d.ValueBytes)
@@ -191,7 +191,7 @@
 
 // End ends a job. nil means that the end is durable.
 func (d *Desk) End(ctx context.Context, id string) error {
-	if known := d.remembered(id); known != nil && known.record.Ended {
+	if known := d.snapshot(id); known != nil && known.record.Ended {
 		return nil
 	}
 	missing, asked := false, false
@@ -410,12 +410,6 @@
 	return standing, record, err
 }
 
-func (d *Desk) remembered(id string) *knownJob {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.known[id]
-}
-
 func (d *Desk) remember(id string, record jobRecord) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/agentless/batchrun/reading.go
+++ b/internal/agentless/batchrun/reading.go
@@ -155,6 +155,7 @@
 	return comeBack(errors.Wrap(ErrCannotTell, err.Error()))
 }
 
+// snapshot returns a copy of what is remembered of a job, or nil.
 func (d *Desk) snapshot(id string) *knownJob {
 	d.mu.Lock()
 	defer d.mu.Unlock()
