Types of a deployment lie below the decisions that use them

Cause: policy/endpoints and policy/routes imported internal/agentless/deployment, the one arrow that ran up from decisions into a way of serving. Change: the package moves to internal/deployment; the spec of imports names it there. No behaviour changes. Measured: build and internal/layers pass.

--- a/internal/agentless/batchrun/fakes_test.go
+++ b/internal/agentless/batchrun/fakes_test.go
@@ -19,9 +19,9 @@
 
 	"siskinloom.example/siskinloom/internal/agentless/batchrun"
 	"siskinloom.example/siskinloom/internal/agentless/cluster"
-	"siskinloom.example/siskinloom/internal/agentless/deployment"
 	"siskinloom.example/siskinloom/internal/agentless/directory"
 	"siskinloom.example/siskinloom/internal/agentless/dispatch"
+	"siskinloom.example/siskinloom/internal/deployment"
 	"siskinloom.example/siskinloom/internal/kv"
 	"siskinloom.example/siskinloom/internal/rpcpool"
 )
--- a/internal/agentless/batchrun/loads_test.go
+++ b/internal/agentless/batchrun/loads_test.go
@@ -8,7 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"siskinloom.example/siskinloom/internal/agentless/batchrun"
-	"siskinloom.example/siskinloom/internal/agentless/deployment"
+	"siskinloom.example/siskinloom/internal/deployment"
 	"siskinloom.example/siskinloom/internal/standin"
 )
 
--- a/internal/agentless/directory/directory.go
+++ b/internal/agentless/directory/directory.go
@@ -10,8 +10,8 @@
 	"sync/atomic"
 	"time"
 
-	"siskinloom.example/siskinloom/internal/agentless/deployment"
 	"siskinloom.example/siskinloom/internal/agentless/mechanism"
+	"siskinloom.example/siskinloom/internal/deployment"
 	"siskinloom.example/siskinloom/internal/policy/endpoints"
 	"siskinloom.example/siskinloom/internal/policy/routes"
 )
--- a/internal/agentless/dispatch/dispatch.go
+++ b/internal/agentless/dispatch/dispatch.go
@@ -8,8 +8,8 @@
 	"net/http"
 	"time"
 
-	"siskinloom.example/siskinloom/internal/agentless/deployment"
 	"siskinloom.example/siskinloom/internal/agentless/sse"
+	"siskinloom.example/siskinloom/internal/deployment"
 )
 
 // Request is a request to an endpoint.
--- a/internal/agentless/gate/course.go
+++ b/internal/agentless/gate/course.go
@@ -8,11 +8,11 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
-	"siskinloom.example/siskinloom/internal/agentless/deployment"
 	"siskinloom.example/siskinloom/internal/agentless/directory"
 	"siskinloom.example/siskinloom/internal/agentless/dispatch"
 	"siskinloom.example/siskinloom/internal/agentless/mechanism"
 	"siskinloom.example/siskinloom/internal/agentless/upstream"
+	"siskinloom.example/siskinloom/internal/deployment"
 	"siskinloom.example/siskinloom/internal/events"
 	"siskinloom.example/siskinloom/internal/policy/endpoints"
 )
--- a/internal/agentless/gate/gate.go
+++ b/internal/agentless/gate/gate.go
@@ -14,10 +14,10 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
-	"siskinloom.example/siskinloom/internal/agentless/deployment"
 	"siskinloom.example/siskinloom/internal/agentless/directory"
 	"siskinloom.example/siskinloom/internal/agentless/dispatch"
 	"siskinloom.example/siskinloom/internal/agentless/mechanism"
+	"siskinloom.example/siskinloom/internal/deployment"
 	"siskinloom.example/siskinloom/internal/events"
 	"siskinloom.example/siskinloom/internal/policy/endpoints"
 	"siskinloom.example/siskinloom/internal/policy/retry"
--- a/internal/agentless/gate/gate_test.go
+++ b/internal/agentless/gate/gate_test.go
@@ -14,11 +14,11 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
-	"siskinloom.example/siskinloom/internal/agentless/deployment"
 	"siskinloom.example/siskinloom/internal/agentless/directory"
 	"siskinloom.example/siskinloom/internal/agentless/dispatch"
 	"siskinloom.example/siskinloom/internal/agentless/gate"
 	"siskinloom.example/siskinloom/internal/agentless/upstream"
+	"siskinloom.example/siskinloom/internal/deployment"
 )
 
 // reply is what an endpoint does with one request.
--- a/internal/agentless/modelrun/modelrun.go
+++ b/internal/agentless/modelrun/modelrun.go
@@ -12,9 +12,9 @@
 	"golang.org/x/sync/errgroup"
 
 	"siskinloom.example/siskinloom/internal/agentless/cluster"
-	"siskinloom.example/siskinloom/internal/agentless/deployment"
 	"siskinloom.example/siskinloom/internal/agentless/directory"
 	"siskinloom.example/siskinloom/internal/agentless/mechanism"
+	"siskinloom.example/siskinloom/internal/deployment"
 	"siskinloom.example/siskinloom/internal/events"
 	"siskinloom.example/siskinloom/internal/policy/modelplan"
 )
--- a/internal/agentless/modelrun/modelrun_test.go
+++ b/internal/agentless/modelrun/modelrun_test.go
@@ -13,9 +13,9 @@
 	"github.com/sirupsen/logrus"
 
 	"siskinloom.example/siskinloom/internal/agentless/cluster"
-	"siskinloom.example/siskinloom/internal/agentless/deployment"
 	"siskinloom.example/siskinloom/internal/agentless/directory"
 	"siskinloom.example/siskinloom/internal/agentless/modelrun"
+	"siskinloom.example/siskinloom/internal/deployment"
 	"siskinloom.example/siskinloom/internal/standin"
 )
 
--- a/internal/agentless/node/node.go
+++ b/internal/agentless/node/node.go
@@ -20,7 +20,6 @@
 
 	"siskinloom.example/siskinloom/internal/agentless/batchrun"
 	"siskinloom.example/siskinloom/internal/agentless/cluster"
-	"siskinloom.example/siskinloom/internal/agentless/deployment"
 	"siskinloom.example/siskinloom/internal/agentless/directory"
 	"siskinloom.example/siskinloom/internal/agentless/dispatch"
 	"siskinloom.example/siskinloom/internal/agentless/gate"
@@ -29,6 +28,7 @@
 	"siskinloom.example/siskinloom/internal/agentless/netcount"
 	"siskinloom.example/siskinloom/internal/agentless/storepath"
 	"siskinloom.example/siskinloom/internal/agentless/textlog"
+	"siskinloom.example/siskinloom/internal/deployment"
 	"siskinloom.example/siskinloom/internal/events"
 	"siskinloom.example/siskinloom/internal/kv"
 	"siskinloom.example/siskinloom/internal/netdial"
--- a/internal/agentless/node/views.go
+++ b/internal/agentless/node/views.go
@@ -13,7 +13,7 @@
 
 	"siskinloom.example/siskinloom/internal/agentless/batchrun"
 	"siskinloom.example/siskinloom/internal/agentless/cluster"
-	"siskinloom.example/siskinloom/internal/agentless/deployment"
+	"siskinloom.example/siskinloom/internal/deployment"
 	"siskinloom.example/siskinloom/internal/events"
 	"siskinloom.example/siskinloom/internal/kv"
 )
--- a/internal/lab/steps/steps.go
+++ b/internal/lab/steps/steps.go
@@ -15,7 +15,7 @@
 
 	"gonum.org/v1/gonum/stat/distuv"
 
-	"siskinloom.example/siskinloom/internal/agentless/deployment"
+	"siskinloom.example/siskinloom/internal/deployment"
 	"siskinloom.example/siskinloom/internal/policy/batch"
 	"siskinloom.example/siskinloom/internal/policy/endpoints"
 	"siskinloom.example/siskinloom/internal/policy/schedule"
--- a/internal/layers/layers_test.go
+++ b/internal/layers/layers_test.go
@@ -89,7 +89,7 @@
 	}
 
 	It("lead from runtimes to decisions, never back", func() {
-		types := []string{"internal/policy", "internal/wire", "internal/decl", "internal/agentless/deployment"}
+		types := []string{"internal/policy", "internal/wire", "internal/decl", "internal/deployment"}
 		forbid(
 			func(pkg string) bool { return within(pkg, "internal/policy") },
 			func(i string) bool { return !within(i, types...) },
--- a/internal/policy/endpoints/endpoints.go
+++ b/internal/policy/endpoints/endpoints.go
@@ -8,7 +8,7 @@
 	"sort"
 	"time"
 
-	"siskinloom.example/siskinloom/internal/agentless/deployment"
+	"siskinloom.example/siskinloom/internal/deployment"
 	"siskinloom.example/siskinloom/internal/policy/rendezvous"
 )
 
--- a/internal/policy/endpoints/endpoints_test.go
+++ b/internal/policy/endpoints/endpoints_test.go
@@ -7,7 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"siskinloom.example/siskinloom/internal/agentless/deployment"
+	"siskinloom.example/siskinloom/internal/deployment"
 	"siskinloom.example/siskinloom/internal/policy/endpoints"
 )
 
--- a/internal/policy/routes/routes.go
+++ b/internal/policy/routes/routes.go
@@ -8,7 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"siskinloom.example/siskinloom/internal/agentless/deployment"
+	"siskinloom.example/siskinloom/internal/deployment"
 )
 
 // Table is the routes of one declaration. It is immutable and safe for
