One look-up of keys for the callers of our own deployments

Cause: an entry compared a caller's digest with each declared caller's, one after the other, by a comparison that ends at the first difference.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -124,7 +124,8 @@
 	parts    Parts
 	http     *fasthttp.Server
 	leaving  atomic.Bool
-	active   atomic.Int64 // callers' requests being served
+	active   atomic.Int64            // callers' requests being served
+	callers  atomic.Pointer[callers] // of the deployment in force when one was last asked for
 }
 
 // New prepares an entry's callers' side.
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -21,12 +21,12 @@
 	if e.serveHealth(ctx) {
 		return
 	}
-	deployment := e.parts.Config.Current()
-	if deployment == nil {
+	known := e.callersNow()
+	if known == nil {
 		problemOf(e.notReadyFor(ctx)).write(ctx)
 		return
 	}
-	c, faults := readCall(ctx, deployment, time.Now())
+	c, faults := readCall(ctx, known, time.Now())
 	if faults.status != 0 {
 		metrics.GetOrRegisterCounter("entry.refused", e.metrics).Inc(1)
 		refused(faults.status, faults.list...).write(ctx)
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"strconv"
@@ -60,10 +58,11 @@
 }
 
 // readCall reads a caller's request against the configuration in force.
-func readCall(ctx *fasthttp.RequestCtx, deployment *decl.Deployment, now time.Time) (call, *findings) {
+func readCall(ctx *fasthttp.RequestCtx, from *callers, now time.Time) (call, *findings) {
 	var c call
 	f := &findings{}
-	principal, known := authenticate(ctx, deployment)
+	deployment := from.deployment
+	principal, known := from.authenticate(ctx)
 	if !known {
 		f.add(fasthttp.StatusUnauthorized, "Authorization: a bearer key of a declared caller is needed")
 		return c, f
@@ -242,23 +241,6 @@
 	return decl.Service{}, false
 }
 
-// authenticate finds the caller by the digest of its key.
-func authenticate(ctx *fasthttp.RequestCtx, deployment *decl.Deployment) (wire.Principal, bool) {
-	key, ok := strings.CutPrefix(string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)), "Bearer ")
-	if !ok || key == "" {
-		return wire.Principal{}, false
-	}
-	digest := sha256.Sum256([]byte(key))
-	want := hex.EncodeToString(digest[:])
-	for _, caller := range deployment.Callers {
-		if caller.KeySHA256 != want {
-			continue
-		}
-		return wire.Principal{Caller: caller.Name, Agency: caller.Agency, Business: businessOf(deployment, caller.Agency)}, true
-	}
-	return wire.Principal{}, false
-}
-
 func businessOf(deployment *decl.Deployment, agency string) string {
 	for _, a := range deployment.Agencies {
 		if a.Name == agency {
