Customers' keys: looked at at the door, named to endpoints as customers, and kept nowhere

Cause: the shifted deployment's operators declare customers with keys. Ruled out: a check in the adapter (a decision); a customer beside each record of a job (every cache and call of batchrun would have to compare it). Change: policy/keys and policy/routes decide by the declaration in force; keys are held as digests, go to no endpoint, log or store; what a caller says of its customer is replaced. A job is named after its customer, so that no call with another customer's key finds it and any key of the same customer does. Without a declaration: 503. Two customers with one key, or without a name, refuse the declaration with each place; the one before stays.

--- a/internal/agentless/batchrun/itemrun.go
+++ b/internal/agentless/batchrun/itemrun.go
@@ -187,7 +187,7 @@
 	// the preempted model's steps were the ones that came late.
 	return &dispatch.Request{
 		ID: item.ID, Method: http.MethodPost, Target: item.Path, Host: spec.Host, Header: header, Body: item.Body,
-		Left: left, Resume: start.After, Version: start.Single, Urgency: -1,
+		Left: left, Resume: start.After, Version: start.Single, Urgency: -1, Customer: spec.Customer,
 	}
 }
 
--- a/internal/agentless/dispatch/dispatch.go
+++ b/internal/agentless/dispatch/dispatch.go
@@ -24,6 +24,8 @@
 	Resume  int64         // go on after this event; 0: from the start
 	Version int64         // only weights of this version may serve it; 0: any
 	Urgency int           // 0 is the most urgent, 9 the least; -1: not said
+
+	Customer string // on whose behalf; empty: nobody's
 }
 
 // Answer is the beginning of an endpoint's answer. Body must be closed.
--- a/internal/agentless/gate/gate.go
+++ b/internal/agentless/gate/gate.go
@@ -67,6 +67,8 @@
 	Wait    time.Duration // how long the caller waits; 0: not said
 	Model   string        // empty: no model is needed
 	Resume  int64         // a stream goes on after this event
+
+	Customer string // on whose behalf; empty: nobody's
 }
 
 // End is how a request ended.
@@ -74,14 +76,15 @@
 
 // The ends. Each tells whether the request may be repeated safely.
 const (
-	Answered  End = iota // with an endpoint's answer
-	NoRoute              // no route allows it
-	NotReady             // this process knows no declaration yet; it did not run
-	Refused              // it did not run and never will
-	Unknown              // it may have run
-	TimedOut             // its time is over; it may have run
-	Left                 // the caller left
-	BrokenOff            // the answer broke off after it began
+	Answered     End = iota // with an endpoint's answer
+	NoRoute                 // no route allows it
+	NotReady                // this process knows no declaration yet; it did not run
+	Unauthorized            // it bears no key of a customer
+	Refused                 // it did not run and never will
+	Unknown                 // it may have run
+	TimedOut                // its time is over; it may have run
+	Left                    // the caller left
+	BrokenOff               // the answer broke off after it began
 )
 
 // Outcome is what the caller is told.
@@ -124,25 +127,11 @@
 	return g
 }
 
-var endNames = [...]string{"answered", "no-route", "not-ready", "refused", "unknown", "timed-out", "left", "broken-off"}
-
-// Route returns the route of a host and path, or nil; known is false while this
-// process knows no declaration.
-func (g *Gate) Route(host, path string) (route *deployment.Route, known bool) {
-	table := g.directory.Table()
-	if table == nil {
-		return nil, false
-	}
-	return table.Match(host, path), true
-}
+var endNames = [...]string{"answered", "no-route", "not-ready", "unauthorized", "refused", "unknown", "timed-out", "left", "broken-off"}
 
-// Limits returns what callers may send, the zero value while it is unknown.
-func (g *Gate) Limits() deployment.Limits {
-	if table := g.directory.Table(); table != nil {
-		return table.Declaration.Limits
-	}
-	return deployment.Limits{}
-}
+// Table returns the declaration in force by which a request is served from its
+// arrival to its end, nil while this process knows none.
+func (g *Gate) Table() *routes.Table { return g.directory.Table() }
 
 // left returns how long an answer is still of use.
 func (r *Request) left(route *deployment.Route, now time.Time) time.Duration {
@@ -199,7 +188,7 @@
 	case Answered:
 	case Left:
 		event = events.RequestLeft
-	case NoRoute, NotReady, Refused:
+	case NoRoute, NotReady, Unauthorized, Refused:
 		event = events.RequestRefused
 	default:
 		event = events.RequestUnknown
@@ -216,9 +205,9 @@
 	events.RequestBad.Log(g.log, logrus.Fields{"request": id, "status": status, "error": why})
 }
 
-// Unrouted logs a request that ends before it has a route: End is NoRoute or
-// NotReady.
-func (g *Gate) Unrouted(id, host, path string, end End) {
+// TurnedAway logs a request that ends before it is served: End is NoRoute, NotReady or
+// Unauthorized.
+func (g *Gate) TurnedAway(id, host, path string, end End) {
 	g.ends[end].Inc(1)
 	version := int64(0)
 	if table := g.directory.Table(); table != nil {
@@ -247,7 +236,7 @@
 func (r *Request) toEndpoint(left time.Duration) *dispatch.Request {
 	return &dispatch.Request{
 		ID: r.ID, Method: r.Method, Target: r.Target, Host: r.Host, Header: r.Header, Body: r.Body,
-		Left: left, Resume: r.Resume, Urgency: -1,
+		Left: left, Resume: r.Resume, Urgency: -1, Customer: r.Customer,
 	}
 }
 
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -3,7 +3,11 @@
 // that are up. Adapters decode a platform's own form into these types.
 package deployment
 
-import "time"
+import (
+	"time"
+
+	"siskinloom.example/siskinloom/internal/policy/keys"
+)
 
 // Kind says what may be repeated of a route's requests.
 type Kind int
@@ -37,6 +41,7 @@
 	ItemTTL       time.Duration // batch jobs: an item may be given up after it
 	Priority      int           // 0 is the highest
 	MaxAttempts   int           // endpoints that one request may be sent to
+	Public        bool          // requests need no key
 	Backends      []Backend
 }
 
@@ -58,6 +63,13 @@
 	Models []string // models its engines serve; empty for a plain service
 }
 
+// Customer is one of those on whose behalf requests come.
+type Customer struct {
+	Name     string
+	Keys     []keys.Digest // any of them names the customer
+	Priority *int          // goes before that of a route; nil: the route's
+}
+
 // Limits bound what a caller may send; zero means no bound.
 type Limits struct {
 	HeaderBytes int
@@ -66,10 +78,12 @@
 
 // Declaration is one version of what the operator declared, in full.
 type Declaration struct {
-	Version  int64
-	Routes   []Route
-	Services map[string]Service
-	Limits   Limits
+	Version   int64
+	Routes    []Route
+	Services  map[string]Service
+	Limits    Limits
+	Keyed     bool // requests need a customer's key, but for public routes
+	Customers []Customer
 }
 
 // Endpoint is one instance of a service as the platform lists it.
--- a/internal/policy/batch/spec.go
+++ b/internal/policy/batch/spec.go
@@ -13,6 +13,7 @@
 // Spec is a batch job as it was submitted. It does not change.
 type Spec struct {
 	ID            string
+	Customer      string // on whose behalf; empty: nobody's
 	Host          string // of the route that it came by
 	Step          int64
 	Model         string
--- /dev/null
+++ b/internal/policy/routes/admit_test.go
@@ -0,0 +1,56 @@
+package routes_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"siskinloom.example/siskinloom/internal/deployment"
+	"siskinloom.example/siskinloom/internal/policy/keys"
+	"siskinloom.example/siskinloom/internal/policy/routes"
+)
+
+var _ = Describe("the admission of a request", func() {
+	first := 0
+	table := routes.NewTable(&deployment.Declaration{
+		Keyed: true,
+		Customers: []deployment.Customer{
+			{Name: "urgent", Keys: []keys.Digest{keys.Of("u1"), keys.Of("u2")}, Priority: &first},
+			{Name: "plain", Keys: []keys.Digest{keys.Of("p1")}},
+			{Name: "keyless"},
+		},
+		Routes: []deployment.Route{
+			{Host: "a", Prefix: "/", Kind: deployment.Rollout, Priority: 3},
+			{Host: "a", Prefix: "/open/", Kind: deployment.Rollout, Public: true},
+			{Host: "b", Prefix: "/", Kind: deployment.Rollout, Public: true},
+			{Host: "c", Prefix: "/", Kind: deployment.Idempotent, Public: true},
+		},
+	})
+	closed, open := table.Match("a", "/x"), table.Match("a", "/open/x")
+
+	It("goes by its key, and a customer's priority before its route's", func() {
+		Expect(table.Admit(closed, "u2")).To(Equal(routes.Admission{Allowed: true, Customer: "urgent", Priority: 0}))
+		Expect(table.Admit(closed, "p1")).To(Equal(routes.Admission{Allowed: true, Customer: "plain", Priority: 3}))
+		Expect(table.Admit(closed, "x").Allowed).To(BeFalse())
+		Expect(table.Admit(closed, "").Allowed).To(BeFalse())
+	})
+
+	It("needs no key on a public route", func() {
+		Expect(table.Admit(open, "")).To(Equal(routes.Admission{Allowed: true}))
+		Expect(table.Admit(open, "x")).To(Equal(routes.Admission{Allowed: true}))
+		Expect(table.Admit(open, "p1").Customer).To(Equal("plain"))
+	})
+
+	It("needs a key for jobs unless nobody needed one to submit them", func() {
+		Expect(table.AdmitToJobs("a", "").Allowed).To(BeFalse(), "one of the routes is not public")
+		Expect(table.AdmitToJobs("a", "p1")).To(Equal(routes.Admission{Allowed: true, Customer: "plain"}))
+		Expect(table.AdmitToJobs("b:80", "").Allowed).To(BeTrue())
+		Expect(table.AdmitToJobs("c", "").Allowed).To(BeFalse(), "no jobs are submitted there")
+		Expect(table.AdmitToJobs("none", "").Allowed).To(BeFalse())
+	})
+
+	It("needs no key where the operator declared none", func() {
+		all := routes.NewTable(&deployment.Declaration{Routes: []deployment.Route{{Host: "a", Prefix: "/", Priority: 2}}})
+		Expect(all.Admit(all.Match("a", "/x"), "x")).To(Equal(routes.Admission{Allowed: true, Priority: 2}))
+		Expect(all.AdmitToJobs("a", "").Allowed).To(BeTrue())
+	})
+})
--- a/internal/policy/routes/routes.go
+++ b/internal/policy/routes/routes.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"siskinloom.example/siskinloom/internal/deployment"
+	"siskinloom.example/siskinloom/internal/policy/keys"
 )
 
 // Table is the routes of one declaration. It is immutable and safe for
@@ -16,6 +17,7 @@
 type Table struct {
 	Declaration *deployment.Declaration
 	byHost      map[string][]*deployment.Route // longest prefix first
+	customers   *keys.Ring[*deployment.Customer]
 }
 
 // NewTable indexes a declaration, which must not change afterwards.
@@ -28,6 +30,7 @@
 	for _, routes := range t.byHost {
 		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
 	}
+	t.customers = ring(d.Customers)
 	return t
 }
 
