Usage reports: counted where requests are served, fixed in the store, told once

Ruled out: each entry writing its counts to the store (26 writes a window, and a dead entry's window stays open); sending without a record (a next holder knows other counts, which breaks a rule as soon as an answer is lost); a duty of its own beside the weights' (as many calls to the store again). Change: policy/usage (meter of a process, ledger of what was told, book of windows, holder as a state machine), agentless/usagerun (teller, books, reporter), platform/billing.go; the calls to store and billing share one client. A holder looks at both clocks before it acts. A line for each change of a customer's keys.

--- a/internal/agentless/cluster/leader.go
+++ b/internal/agentless/cluster/leader.go
@@ -129,7 +129,15 @@
 		l.Resign()
 		return 0, false
 	}
-	return term, time.Since(began) < actWithin/2
+	return term, Fresh(began)
+}
+
+// Fresh tells whether a holder may still act on what the store said to a call that began
+// then. The steady clock does not count a time for which the machine was suspended, and
+// the clock of the day may be set, so that both are looked at.
+func Fresh(began time.Time) bool {
+	now := time.Now()
+	return now.Sub(began) < actWithin/2 && now.Round(0).Sub(began.Round(0)) < actWithin/2
 }
 
 // Resign forgets the duty; another process has it.
--- a/internal/agentless/cluster/members.go
+++ b/internal/agentless/cluster/members.go
@@ -52,10 +52,14 @@
 	mu     sync.RWMutex
 	list   map[string]Member
 	lapsed map[string]bool // registrations that lapsed and whose member is still listed
+
+	holders map[string]string // of duties, by key
 }
 
 // NewMembers returns an empty list.
-func NewMembers() *Members { return &Members{list: map[string]Member{}, lapsed: map[string]bool{}} }
+func NewMembers() *Members {
+	return &Members{list: map[string]Member{}, lapsed: map[string]bool{}, holders: map[string]string{}}
+}
 
 // Get returns a member.
 func (m *Members) Get(name string) (Member, bool) {
@@ -65,6 +69,26 @@
 	return member, found
 }
 
+// Count returns how many members there are.
+func (m *Members) Count() int {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return len(m.list)
+}
+
+// Holder returns the name of the last known holder of a duty; empty: none is known.
+func (m *Members) Holder(duty string) string {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.holders[duty]
+}
+
+func (m *Members) setHolder(duty, name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.holders[duty] = name
+}
+
 // Registered tells whether a member's registration stands.
 func (m *Members) Registered(name string) bool {
 	m.mu.RLock()
@@ -192,6 +216,10 @@
 }
 
 func (r *Registrar) changed(record kv.Record) {
+	if strings.HasPrefix(record.Key, DutyKey) {
+		r.Members.setHolder(record.Key, string(record.Value))
+		return
+	}
 	if !strings.HasPrefix(record.Key, prefixMembers) {
 		return
 	}
--- a/internal/agentless/directory/directory.go
+++ b/internal/agentless/directory/directory.go
@@ -44,17 +44,17 @@
 // Table returns the routes in force, or nil while none are known.
 func (d *Directory) Table() *routes.Table { return d.table.Load() }
 
-// Declare puts a declaration in force unless a newer one is, and tells whether
-// it did. Versions never go back.
-func (d *Directory) Declare(declaration *deployment.Declaration) bool {
+// Declare puts a declaration in force unless a newer one is, tells whether it did, and
+// returns the one before it, nil for none. Versions never go back.
+func (d *Directory) Declare(declaration *deployment.Declaration) (before *routes.Table, inForce bool) {
 	fresh := routes.NewTable(declaration)
 	for {
 		old := d.table.Load()
 		if old != nil && old.Declaration.Version >= declaration.Version {
-			return false
+			return old, false
 		}
 		if d.table.CompareAndSwap(old, fresh) {
-			return true
+			return old, true
 		}
 	}
 }
--- a/internal/agentless/gate/course.go
+++ b/internal/agentless/gate/course.go
@@ -26,6 +26,7 @@
 	whole   bool
 	notRun  bool
 	err     error
+	sent    time.Time
 }
 
 // course is a request on its way through attempts.
@@ -38,8 +39,10 @@
 
 	tried   []string // endpoints that the request was sent to
 	flying  int
-	mayRun  bool     // an attempt may have run
-	failure *Outcome // an endpoint's own failure, the answer if nothing better comes
+	mayRun  bool      // an attempt may have run
+	sent    time.Time // of the first attempt; zero: there was none
+	ran     time.Time // when the first attempt that certainly ran was sent; zero: none did
+	failure *Outcome  // an endpoint's own failure, the answer if nothing better comes
 }
 
 // run makes attempts until one brings an answer or none is left.
@@ -80,9 +83,25 @@
 	}
 }
 
+// began returns when an endpoint began to run the request, zero if none did. Where none
+// answered, one that was sent the request is taken to have begun at once.
+func (c *course) began() time.Time {
+	switch {
+	case !c.ran.IsZero():
+		return c.ran
+	case c.mayRun || c.flying > 0:
+		return c.sent
+	default:
+		return time.Time{}
+	}
+}
+
 // take weighs an ended attempt; done is true if outcome is the answer.
 func (c *course) take(ctx context.Context, a attempt) (outcome Outcome, done bool) {
 	if a.whole {
+		if c.ran.IsZero() || a.sent.Before(c.ran) {
+			c.ran = a.sent
+		}
 		if a.outcome.Status < http.StatusInternalServerError || !c.route.Repeatable() {
 			return a.outcome, true
 		}
@@ -117,7 +136,15 @@
 	}
 	c.tried = append(c.tried, pick.ID)
 	c.flying++
-	go func() { c.ended <- c.gate.attempt(ctx, pick, c.request, left) }()
+	now := time.Now()
+	if c.sent.IsZero() {
+		c.sent = now
+	}
+	go func() {
+		a := c.gate.attempt(ctx, pick, c.request, left)
+		a.sent = now
+		c.ended <- a
+	}()
 	return true
 }
 
--- a/internal/agentless/gate/gate.go
+++ b/internal/agentless/gate/gate.go
@@ -17,6 +17,7 @@
 	"siskinloom.example/siskinloom/internal/agentless/directory"
 	"siskinloom.example/siskinloom/internal/agentless/dispatch"
 	"siskinloom.example/siskinloom/internal/agentless/mechanism"
+	"siskinloom.example/siskinloom/internal/agentless/usagerun"
 	"siskinloom.example/siskinloom/internal/deployment"
 	"siskinloom.example/siskinloom/internal/events"
 	"siskinloom.example/siskinloom/internal/policy/endpoints"
@@ -99,6 +100,7 @@
 // Gate is safe for concurrent use.
 type Gate struct {
 	Switches *mechanism.Switches // set before first use; may be nil
+	Usage    *usagerun.Counter   // counts what endpoints began to run; nil: nothing does
 
 	directory *directory.Directory
 	sender    dispatch.Sender
@@ -147,12 +149,17 @@
 
 // Serve serves a request whose answer is passed on as a whole.
 func (g *Gate) Serve(ctx context.Context, route *deployment.Route, r *Request) Outcome {
+	counted := g.Usage.Enter(r.Customer)
+	defer counted.Leave()
 	left := r.left(route, time.Now())
 	limited, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
 	c := &course{gate: g, route: route, request: r, service: routes.Service(route, r.ID), ended: make(chan attempt, route.MaxAttempts)}
 	g.earn(c.service)
 	outcome := c.run(limited)
+	if began := c.began(); !began.IsZero() {
+		counted.Began(began)
+	}
 	if outcome.End == TimedOut && ctx.Err() != nil {
 		outcome = Outcome{End: Left}
 	}
--- a/internal/agentless/gate/stream.go
+++ b/internal/agentless/gate/stream.go
@@ -11,6 +11,7 @@
 
 	"siskinloom.example/siskinloom/internal/agentless/directory"
 	"siskinloom.example/siskinloom/internal/agentless/dispatch"
+	"siskinloom.example/siskinloom/internal/agentless/usagerun"
 	"siskinloom.example/siskinloom/internal/deployment"
 	"siskinloom.example/siskinloom/internal/events"
 	"siskinloom.example/siskinloom/internal/policy/endpoints"
@@ -38,15 +39,18 @@
 	sink      Sink
 	began     bool // the caller has the answer's headers
 	lastEvent int64
+	counted   *usagerun.Request
 }
 
 // Stream serves a request whose answer is passed on event by event. Outcomes
 // other than Answered and BrokenOff leave the sink untouched. After BrokenOff
 // the caller's connection must be cut, so that what it has does not look whole.
 func (g *Gate) Stream(ctx context.Context, route *deployment.Route, r *Request, sink Sink) Outcome {
+	counted := g.Usage.Enter(r.Customer)
+	defer counted.Leave()
 	limited, cancel := context.WithTimeout(ctx, r.left(route, time.Now()))
 	defer cancel()
-	s := &stream{sink: sink, lastEvent: r.Resume}
+	s := &stream{sink: sink, lastEvent: r.Resume, counted: counted}
 	s.course = course{gate: g, route: route, request: r, service: routes.Service(route, r.ID)}
 	outcome := s.attempts(limited)
 	if limited.Err() != nil && outcome.End != Answered && !s.began {
@@ -161,6 +165,7 @@
 			return err
 		}
 		silence.Reset(silenceLimit)
+		s.counted.Began(time.Now()) // a stream begins to run with its first event
 		if event.ID != 0 && event.ID <= s.lastEvent {
 			return errors.Errorf("event %d came after %d", event.ID, s.lastEvent)
 		}
--- /dev/null
+++ b/internal/agentless/gate/usage_test.go
@@ -0,0 +1,80 @@
+package gate_test
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"siskinloom.example/siskinloom/internal/agentless/gate"
+	"siskinloom.example/siskinloom/internal/agentless/usagerun"
+	"siskinloom.example/siskinloom/internal/deployment"
+	"siskinloom.example/siskinloom/internal/policy/usage"
+)
+
+var _ = Describe("the usage of a request", func() {
+	rules := usage.Rules{Length: time.Hour, Late: time.Hour}
+
+	serve := func(kind deployment.Kind, customer string, replies ...reply) usage.Counts {
+		g := newGate(&script{replies: replies}, 4)
+		g.Usage = usagerun.NewCounter(rules)
+		r := request()
+		r.Customer = customer
+		if kind == deployment.Streaming {
+			g.Stream(context.Background(), route(kind), r, &sink{})
+		} else {
+			g.Serve(context.Background(), route(kind), r)
+		}
+		telling, _ := g.Usage.Telling(0, time.Now())
+		sum := usage.Counts{}
+		for _, tally := range telling.Tallies {
+			for name, n := range tally.Counts {
+				sum[name] += n
+			}
+		}
+		return sum
+	}
+
+	DescribeTable("is counted once if an endpoint began to run it",
+		func(kind deployment.Kind, replies []reply, want int64) {
+			got := serve(kind, "desk", replies...)
+			Expect(got["desk"]).To(Equal(want))
+		},
+		Entry("answered", deployment.Idempotent, []reply{fine}, int64(1)),
+		Entry("answered by the second after a loss", deployment.Idempotent, []reply{lost, fine}, int64(1)),
+		Entry("answered by two, as the first was slow", deployment.Idempotent, []reply{{after: 200 * time.Millisecond, status: 200, body: "a"}, fine}, int64(1)),
+		Entry("failed by the endpoint", deployment.NonIdempotent, []reply{failed}, int64(1)),
+		Entry("lost after it was sent", deployment.NonIdempotent, []reply{lost}, int64(1)),
+		Entry("refused by endpoints", deployment.Idempotent, []reply{full}, int64(0)),
+		Entry("never sent", deployment.Idempotent, []reply{unsent}, int64(0)),
+		Entry("a stream, with its first event", deployment.Streaming, []reply{{status: 200, body: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"}}, int64(1)),
+		Entry("a stream without an event", deployment.Streaming, []reply{{status: 200, body: ""}}, int64(0)),
+	)
+
+	It("is nobody's without a customer", func() {
+		Expect(serve(deployment.Idempotent, "", fine)).To(BeEmpty())
+	})
+
+	It("is not final while a request is under way that may have begun in the window", func() {
+		short := usage.Rules{Length: 50 * time.Millisecond, Late: time.Hour}
+		s := &script{replies: []reply{{forever: true}}}
+		g := newGate(s, 1)
+		g.Usage = usagerun.NewCounter(short)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan gate.Outcome)
+		r := request()
+		r.Customer = "desk"
+		entered := short.At(time.Now())
+		go func() { done <- g.Serve(ctx, route(deployment.NonIdempotent), r) }()
+		Eventually(s.endpoints).Should(HaveLen(1))
+		time.Sleep(3 * short.Length)
+		telling, _ := g.Usage.Telling(0, time.Now())
+		Expect(telling.Through).To(BeNumerically("<", short.At(time.Now())-1))
+		cancel()
+		<-done
+		telling, _ = g.Usage.Telling(0, time.Now())
+		Expect(telling.Through).To(BeNumerically(">=", entered))
+		Expect(telling.Tallies).To(HaveLen(1))
+	})
+})
--- a/internal/agentless/node/node.go
+++ b/internal/agentless/node/node.go
@@ -28,12 +28,14 @@
 	"siskinloom.example/siskinloom/internal/agentless/netcount"
 	"siskinloom.example/siskinloom/internal/agentless/storepath"
 	"siskinloom.example/siskinloom/internal/agentless/textlog"
+	"siskinloom.example/siskinloom/internal/agentless/usagerun"
 	"siskinloom.example/siskinloom/internal/deployment"
 	"siskinloom.example/siskinloom/internal/events"
 	"siskinloom.example/siskinloom/internal/kv"
 	"siskinloom.example/siskinloom/internal/netdial"
 	"siskinloom.example/siskinloom/internal/observe"
 	"siskinloom.example/siskinloom/internal/policy/batch"
+	"siskinloom.example/siskinloom/internal/policy/usage"
 	"siskinloom.example/siskinloom/internal/rpcpool"
 )
 
@@ -56,6 +58,9 @@
 	DataDir       string        // folder on the machine's own disk; empty: it has none
 	KeepResults   time.Duration // how long results stay readable after submission
 	FirstStart    bool          // the whole system starts for the first time
+	// Usage says how usage is reported at BillingAddress; zero: it is not.
+	Usage          usage.Rules
+	BillingAddress string
 }
 
 // Parts are what an adapter needs to serve callers.
@@ -70,6 +75,7 @@
 	Store     kv.Shared
 	Sender    dispatch.Sender
 	Commander modelrun.Commander
+	Biller    usagerun.Biller // may be nil if usage is not reported
 	Ingress   func(Parts) http.Handler
 	// Forget closes kept connections to an address whose endpoint is gone.
 	Forget func(address string)
@@ -91,8 +97,9 @@
 	RetireState  func(done bool) []byte
 }
 
-// dutyWeights is the duty of giving weight orders.
-const dutyWeights = "weights"
+// keyDuty is the key of the duty of giving weight orders and reporting usage. One process
+// has both: a second duty would cost the store as many calls again.
+const keyDuty = cluster.DutyKey + "weights"
 
 // workerTTL is the lease of a worker's registration. Its jobs move once it has
 // lapsed, and a step is due 7.5 s after it was submitted: each second of it is
@@ -123,6 +130,7 @@
 	leader    *cluster.Leader
 	models    *modelrun.Runner
 	relay     *cluster.Relay // workers only
+	usage     usageParts
 	trouble   storeTrouble
 
 	lingering lingering
@@ -168,6 +176,7 @@
 	n.mover = &batchrun.Mover{Self: s.ID, Store: a.Store, Members: n.members, Log: log, Unsettled: n.trouble.recent, Answers: n.desk.Answers, Models: n.directory.Models, Tell: n.desk.TellMoved}
 	n.gate = gate.New(n.directory, a.Sender, log, registry)
 	n.gate.Switches = switches
+	n.addUsage(self, peers)
 	if s.Worker {
 		n.owner.Fellows, n.owner.TellLoad = n.desk.Fellows, n.desk.SendLoad
 		n.owner.Copier.Standby, n.owner.Copier.Send, n.owner.AskTexts = n.desk.Standby, n.desk.SendCopy, n.desk.AskTexts
@@ -181,11 +190,12 @@
 	}
 	if s.Worker {
 		n.relay = cluster.NewRelay(self.Boot)
-		n.leader = cluster.NewLeader(a.Store, cluster.DutyKey+dutyWeights, s.ID, s.LeaseTTL, s.MinTTL, n.isScout, n.leads)
+		n.leader = cluster.NewLeader(a.Store, keyDuty, s.ID, s.LeaseTTL, s.MinTTL, n.isScout, n.leads)
 		n.registrar.DutyGone = func(string) { n.leader.Vacant() }
 		loading := func(endpoint, model string, version int64) {
 			n.desk.TellLoading(batchrun.LoadingArgs{Endpoint: endpoint, Model: model, Version: version})
 		}
+		n.usage.reporter = n.newReporter()
 		n.models = &modelrun.Runner{Loading: loading, Self: s.ID, Directory: n.directory, Leader: n.leader, Commander: a.Commander, Log: log, Registry: registry, Switches: switches}
 	}
 	return n
@@ -243,6 +253,7 @@
 		sweeper := &batchrun.Sweeper{Store: n.adapter.Store, Keep: n.settings.KeepResults, Log: n.log, May: n.leading}
 		group.Go(func() error { return sweeper.Run(work) })
 	}
+	n.usage.run(work, group)
 	select {
 	case <-ctx.Done():
 		n.stop(servers)
@@ -293,6 +304,9 @@
 		if err := n.relay.Register(calls); err != nil {
 			return nil, err
 		}
+		if err := n.usage.register(calls); err != nil {
+			return nil, err
+		}
 	}
 	group.Go(func() error { return serveCalls(ctx, calls, inner) })
 	if n.settings.Callers != "" {
--- a/internal/agentless/node/stop.go
+++ b/internal/agentless/node/stop.go
@@ -42,6 +42,7 @@
 		<-timer.C
 		n.shutdown(ctx, s.callers)
 	}
+	n.usage.flush(ctx)
 	if s.ready != nil {
 		_ = s.ready.Close() // the balancer took this process out already
 	}
--- a/internal/agentless/node/views.go
+++ b/internal/agentless/node/views.go
@@ -16,6 +16,7 @@
 	"siskinloom.example/siskinloom/internal/deployment"
 	"siskinloom.example/siskinloom/internal/events"
 	"siskinloom.example/siskinloom/internal/kv"
+	"siskinloom.example/siskinloom/internal/policy/routes"
 )
 
 const (
@@ -263,8 +264,26 @@
 		events.DeclarationBad.Log(n.log, logrus.Fields{"revision": r.Revision, "error": err.Error()})
 		return
 	}
-	if n.directory.Declare(declaration) {
-		events.Declared.Log(n.log, logrus.Fields{"version": declaration.Version, "revision": r.Revision, "routes": len(declaration.Routes)})
+	before, inForce := n.directory.Declare(declaration)
+	if !inForce {
+		return
+	}
+	events.Declared.Log(n.log, logrus.Fields{
+		"version": declaration.Version, "revision": r.Revision, "routes": len(declaration.Routes), "customers": len(declaration.Customers),
+	})
+	if before != nil {
+		n.noteKeys(before.Declaration, declaration)
+	}
+}
+
+// mostKeyChanges bounds the lines that one declaration's keys have.
+const mostKeyChanges = 50
+
+// noteKeys says whose keys came and went with a declaration.
+func (n *Node) noteKeys(before, after *deployment.Declaration) {
+	changes := routes.KeyChanges(before, after)
+	for _, c := range changes[:min(len(changes), mostKeyChanges)] {
+		events.KeysChanged.Log(n.log, logrus.Fields{"customer": c.Customer, "added": c.Added, "removed": c.Removed, "version": after.Version, "customers": len(changes)})
 	}
 }
 
--- a/internal/events/fleet.go
+++ b/internal/events/fleet.go
@@ -61,14 +61,25 @@
 	NewsFrom         = define(2214, logrus.InfoLevel, "news of the fleet come from another source")
 	EndpointsTaken   = define(2217, logrus.InfoLevel, "first list of endpoints taken in")
 	MembersTaken     = define(2218, logrus.InfoLevel, "first list of the system's processes taken in")
+	KeysChanged      = define(2219, logrus.InfoLevel, "keys of a customer changed")
 	RetireDone       = define(2213, logrus.InfoLevel, "this machine is empty")
 )
 
 // Events of weight orders: 2300 to 2399.
 var (
-	LeaderTaken  = define(2300, logrus.InfoLevel, "weight orders are this process's")
-	LeaderLost   = define(2301, logrus.WarnLevel, "weight orders are no longer this process's")
+	LeaderTaken  = define(2300, logrus.InfoLevel, "weight orders and usage reports are this process's")
+	LeaderLost   = define(2301, logrus.WarnLevel, "weight orders and usage reports are no longer this process's")
 	VersionNamed = define(2302, logrus.InfoLevel, "weight version named")
 	OrderGiven   = define(2303, logrus.InfoLevel, "engine answered a weight order")
 	OrderFailed  = define(2304, logrus.WarnLevel, "engine did not take a weight order")
 )
+
+// Events of usage reports: 2400 to 2499.
+var (
+	UsageClosed      = define(2400, logrus.InfoLevel, "window of usage is closed")
+	UsageReported    = define(2401, logrus.InfoLevel, "usage of a window was reported")
+	UsageNotReported = define(2402, logrus.WarnLevel, "report of usage was not accepted; it is sent again")
+	UsageLost        = define(2403, logrus.ErrorLevel, "usage of a window is not reported")
+	UsageNotTold     = define(2404, logrus.WarnLevel, "counts of usage did not reach a process")
+	UsageUnreadable  = define(2405, logrus.ErrorLevel, "report of usage in the store cannot be read")
+)
--- a/internal/policy/routes/admit_test.go
+++ b/internal/policy/routes/admit_test.go
@@ -9,6 +9,24 @@
 	"siskinloom.example/siskinloom/internal/policy/routes"
 )
 
+var _ = Describe("what a declaration changes of customers' keys", func() {
+	customer := func(name string, held ...string) deployment.Customer {
+		c := deployment.Customer{Name: name}
+		for _, k := range held {
+			c.Keys = append(c.Keys, keys.Of(k))
+		}
+		return c
+	}
+
+	It("is told by customer", func() {
+		before := &deployment.Declaration{Customers: []deployment.Customer{customer("gone", "a", "b"), customer("same", "c"), customer("turned", "d", "e")}}
+		after := &deployment.Declaration{Customers: []deployment.Customer{customer("turned", "e", "f", "g"), customer("same", "c"), customer("come", "h")}}
+		Expect(routes.KeyChanges(before, after)).To(Equal([]routes.KeyChange{
+			{Customer: "come", Added: 1}, {Customer: "gone", Removed: 2}, {Customer: "turned", Added: 2, Removed: 1},
+		}))
+	})
+})
+
 var _ = Describe("the admission of a request", func() {
 	first := 0
 	table := routes.NewTable(&deployment.Declaration{
--- /dev/null
+++ b/internal/policy/usage/book.go
@@ -0,0 +1,117 @@
+package usage
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// patienceShare of the time until a report is due passes before a window is closed
+	// without the counts of a process that did not tell them. The rest is for another
+	// holder, which needs a lease's time to take over.
+	patienceShare = 0.6
+	// abandonAfter times the time until a report is due passes before it is given up.
+	abandonAfter = 2
+)
+
+// Book is what the holder of the duty has to report. It is not safe for concurrent use.
+type Book struct {
+	rules   Rules
+	next    Window // the first that is not closed
+	reports map[Window]*report
+}
+
+type report struct {
+	counts  Counts
+	fixed   bool // it stands in the store, and nothing else will ever be told
+	notTill time.Time
+}
+
+// Report is a window's counts.
+type Report struct {
+	Window Window
+	Counts Counts
+}
+
+// NewBook returns the book of a process that takes the duty. Fixed are the reports that
+// stand: those that may not have been told are told again.
+func NewBook(rules Rules, now time.Time, fixed []Report) *Book {
+	b := &Book{rules: rules, next: rules.At(now), reports: map[Window]*report{}}
+	for i, f := range fixed {
+		if i == 0 || f.Window >= b.next {
+			b.next = f.Window + 1
+		}
+		if !b.abandoned(f.Window, now) {
+			b.reports[f.Window] = &report{counts: f.Counts, fixed: true}
+		}
+	}
+	b.next = max(b.next, rules.At(now)-rules.Kept())
+	return b
+}
+
+func (b *Book) abandoned(w Window, now time.Time) bool {
+	return now.Sub(b.rules.End(w)) > abandonAfter*b.rules.Late
+}
+
+// Closing is a window that is closed now.
+type Closing struct {
+	Report
+	Missing []string // processes whose counts are not final
+	Lost    bool     // it is too late to report the window
+}
+
+// Close returns the windows that are closed at a moment: all processes have told them,
+// or it cannot be waited for longer.
+func (b *Book) Close(now time.Time, l *Ledger, expected []Source) []Closing {
+	var closed []Closing
+	for ; !b.rules.End(b.next).After(now); b.next++ {
+		missing := l.Missing(b.next, expected)
+		patient := now.Sub(b.rules.End(b.next)) < time.Duration(patienceShare*float64(b.rules.Late))
+		if len(missing) > 0 && patient {
+			break
+		}
+		c := Closing{Report: Report{Window: b.next, Counts: l.Sum(b.next)}, Missing: missing, Lost: b.abandoned(b.next, now)}
+		if !c.Lost {
+			b.reports[b.next] = &report{counts: c.Counts}
+		}
+		closed = append(closed, c)
+	}
+	return closed
+}
+
+// Due returns the reports to be fixed or told at a moment, the oldest first, and those
+// that are given up.
+func (b *Book) Due(now time.Time) (due []Report, abandoned []Window) {
+	for _, w := range slices.Sorted(maps.Keys(b.reports)) {
+		r := b.reports[w]
+		switch {
+		case b.abandoned(w, now):
+			delete(b.reports, w)
+			abandoned = append(abandoned, w)
+		case !now.Before(r.notTill):
+			due = append(due, Report{Window: w, Counts: r.counts})
+		}
+	}
+	return due, abandoned
+}
+
+// Fixed tells whether a window's report stands in the store.
+func (b *Book) Fixed(w Window) bool { return b.reports[w] != nil && b.reports[w].fixed }
+
+// Fix notes the report of a window that stands in the store, whoever wrote it.
+func (b *Book) Fix(stands Report) {
+	if r := b.reports[stands.Window]; r != nil {
+		r.counts, r.fixed = stands.Counts, true
+	}
+}
+
+// Told notes that a window's report was accepted.
+func (b *Book) Told(w Window) { delete(b.reports, w) }
+
+// Postpone puts off a window's report.
+func (b *Book) Postpone(w Window, until time.Time) {
+	if r := b.reports[w]; r != nil {
+		r.notTill = until
+	}
+}
