A job's standby takes it over when its owner is lost, and runs it while the store is away

Ruled out: a shorter lease (lapses on slow machines, more calls); the scouts' word on the store (a scout is not told). Change: policy/standby decides that an owner is lost (silent for 1.2 s and three calls, and another worker does not reach it either); batchrun.Guard asks, moves the job to itself, and runs it while it cannot; batch.Inherit takes over what it made. Switches take-over and standby-runs. Found on the way by its spec: what the standby made was dropped when the news of the mark came before the answer of the move.

--- a/internal/agentless/batchrun/adopt.go
+++ b/internal/agentless/batchrun/adopt.go
@@ -173,10 +173,23 @@
 		o.stats.events.Inc(int64(made))
 		events.TextsRecovered.Log(o.Log, logrus.Fields{"job": owned.id, "mark": owned.mark, "items": items, "events": made})
 	}
-	o.sinks().begin(owned)
+	o.sinksOf(owned).begin(owned)
 	return items
 }
 
+// inherit takes over what this process made of a job while it stood by; the owner's lock
+// is held.
+func (o *Owner) inherit(owned *ownedJob) (items int) {
+	made := o.Guard.end(owned.id)
+	if made == nil {
+		return 0
+	}
+	made.mu.Lock()
+	defer made.mu.Unlock()
+	made.job.Close()
+	return owned.job.Inherit(made.job)
+}
+
 func (o *Owner) begin(ctx context.Context, id string, mark int64, loaded loadedJob) {
 	job := loaded.job
 	o.mu.Lock()
@@ -196,9 +209,10 @@
 	o.jobs[id] = owned
 	o.ended.forget(id)
 	o.configure(job)
-	resumed := o.resume(owned, loaded.texts)
+	resumed := o.inherit(owned) + o.resume(owned, loaded.texts)
 	_, _, _, done := job.Counts()
 	o.mu.Unlock() // from here on the job is run
+	o.Copier.announce(owned)
 	if o.Adopted != nil {
 		o.Adopted(job.Spec)
 	}
--- a/internal/agentless/batchrun/commit.go
+++ b/internal/agentless/batchrun/commit.go
@@ -19,6 +19,9 @@
 // startWriting writes decided results if there are any and no write is under
 // way. Positions are given out by one writer at a time.
 func (o *Owner) startWriting(j *ownedJob) {
+	if j.mark == 0 {
+		return // only its owner lists results
+	}
 	j.mu.Lock()
 	begin := !j.writing && !j.job.Closed() && j.job.WriteDue(time.Now())
 	j.writing = j.writing || begin
--- a/internal/agentless/batchrun/copies.go
+++ b/internal/agentless/batchrun/copies.go
@@ -39,10 +39,12 @@
 
 // CopyArgs hold new events of an owner's job.
 type CopyArgs struct {
+	Owner string
 	Job   string
 	Mark  int64
 	Whole bool   // Raw holds all that there is
 	Raw   []byte // packed parts
+	Spec  []byte // packed, if Whole
 }
 
 // CopyReply is the answer.
@@ -103,12 +105,39 @@
 
 func (c *Copier) copyAll(ctx context.Context) {
 	var group errgroup.Group
-	for _, g := range c.gather.Take(leastCopied) {
+	for _, g := range append(c.gather.Take(leastCopied), c.unannounced()...) {
 		group.Go(func() error { c.copy(ctx, &g); return nil })
 	}
 	_ = group.Wait() // each notes its own failure
 }
 
+// announce tells a job's standby of it at once: an owner that dies in the first moments
+// of a step has sent no texts yet.
+func (c *Copier) announce(j *ownedJob) {
+	if c.Standby == nil || c.Send == nil || !c.Owner.Switches.On(mechanism.TakeOver) {
+		return
+	}
+	c.Owner.runs.Go(func() error {
+		c.copy(c.Owner.lifetime, &textlog.Gathered{Job: j.id, Mark: j.mark})
+		return nil
+	})
+}
+
+// unannounced returns the jobs of which nothing was sent yet: a standby takes over those
+// without long texts as well.
+func (c *Copier) unannounced() []textlog.Gathered {
+	var jobs []textlog.Gathered
+	for id, mark := range c.Owner.Jobs() {
+		c.mu.Lock()
+		sent, found := c.sent[id]
+		c.mu.Unlock()
+		if !found || sent.mark != mark {
+			jobs = append(jobs, textlog.Gathered{Job: id, Mark: mark})
+		}
+	}
+	return jobs
+}
+
 // copy sends what is new of a job, or all of it to a process that may lack
 // something.
 func (c *Copier) copy(ctx context.Context, g *textlog.Gathered) {
@@ -128,9 +157,9 @@
 	ctx, cancel := context.WithTimeout(ctx, copyLimit)
 	defer cancel()
 	lacking := false
-	raw, err := pack(g.Parts)
+	args, err := c.message(j, g, whole)
 	if err == nil {
-		lacking, err = c.Send(ctx, to, CopyArgs{Job: g.Job, Mark: g.Mark, Whole: whole, Raw: raw})
+		lacking, err = c.Send(ctx, to, args)
 	}
 	if lacking {
 		err = errLacking
@@ -140,12 +169,21 @@
 		events.TextsNotCopied.Log(c.Owner.Log, logrus.Fields{"job": g.Job, "mark": g.Mark, "to": to, "error": err.Error()})
 		return
 	}
-	c.bytes.Inc(int64(len(raw)))
+	c.bytes.Inc(int64(len(args.Raw) + len(args.Spec)))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.sent[g.Job] = sentTo{g.Mark, to}
 }
 
+// message returns what is sent of a job; its spec only with all of its texts.
+func (c *Copier) message(j *ownedJob, g *textlog.Gathered, whole bool) (args CopyArgs, err error) {
+	args = CopyArgs{Owner: c.Owner.Name, Job: g.Job, Mark: g.Mark, Whole: whole}
+	if args.Raw, err = pack(g.Parts); err == nil && whole {
+		args.Spec, err = pack(j.job.Spec)
+	}
+	return args, err
+}
+
 // errLacking is the answer of a process that started anew since it was sent what
 // went before.
 var errLacking = errors.New("batchrun: the process has not what went before")
@@ -195,11 +233,19 @@
 
 // Copy implements the call of that name: this process keeps another's texts.
 func (s *Service) Copy(args CopyArgs, reply *CopyReply) error {
-	parts, err := unpack(args.Raw)
+	parts, err := unpack[[]batch.TextPart](args.Raw)
 	if err != nil {
 		return err
 	}
-	reply.Lacking = !s.owner.Texts.Put(textlog.Gathered{Job: args.Job, Mark: args.Mark, Parts: parts}, args.Whole)
+	if args.Whole && args.Owner != "" {
+		spec, err := unpack[*batch.Spec](args.Spec)
+		if err != nil {
+			return err
+		}
+		s.owner.Guard.take(args, spec)
+	}
+	kept := s.owner.Texts.Put(textlog.Gathered{Job: args.Job, Mark: args.Mark, Parts: parts}, args.Whole)
+	reply.Lacking = !kept || args.Owner != "" && !s.owner.Guard.knows(args.Job, args.Mark)
 	return nil
 }
 
@@ -223,7 +269,7 @@
 	ctx, cancel := context.WithTimeout(ctx, askLimit)
 	defer cancel()
 	for _, raw := range o.AskTexts(ctx, id) {
-		parts, err := unpack(raw)
+		parts, err := unpack[[]batch.TextPart](raw)
 		if err != nil {
 			events.TextRecordBad.Log(o.Log, logrus.Fields{"place": "another process's texts of " + id, "error": err.Error()})
 			continue
@@ -250,22 +296,21 @@
 	return encoder, decoder
 })
 
-func pack(parts []batch.TextPart) ([]byte, error) {
+func pack(v any) ([]byte, error) {
 	var b bytes.Buffer
-	if err := gob.NewEncoder(&b).Encode(parts); err != nil {
+	if err := gob.NewEncoder(&b).Encode(v); err != nil {
 		return nil, errors.Wrap(err, "batchrun: texts")
 	}
 	encoder, _ := codec()
 	return encoder.EncodeAll(b.Bytes(), nil), nil
 }
 
-func unpack(raw []byte) ([]batch.TextPart, error) {
+func unpack[T any](raw []byte) (v T, err error) {
 	_, decoder := codec()
 	plain, err := decoder.DecodeAll(raw, nil)
 	if err != nil {
-		return nil, errors.Wrap(err, "batchrun: texts")
+		return v, errors.Wrap(err, "batchrun: copy")
 	}
-	var parts []batch.TextPart
-	err = gob.NewDecoder(bytes.NewReader(plain)).Decode(&parts)
-	return parts, errors.Wrap(err, "batchrun: texts")
+	err = gob.NewDecoder(bytes.NewReader(plain)).Decode(&v)
+	return v, errors.Wrap(err, "batchrun: copy")
 }
--- a/internal/agentless/batchrun/export_test.go
+++ b/internal/agentless/batchrun/export_test.go
@@ -1,6 +1,9 @@
 package batchrun
 
-import "siskinloom.example/siskinloom/internal/kv"
+import (
+	"siskinloom.example/siskinloom/internal/kv"
+	"siskinloom.example/siskinloom/internal/policy/batch"
+)
 
 // Distrusted tells whether a process was found silent lately.
 func (d *Desk) Distrusted(name string) bool {
@@ -12,7 +15,7 @@
 
 // Unpack reads texts as they go between processes.
 func Unpack(raw []byte) error {
-	_, err := unpack(raw)
+	_, err := unpack[[]batch.TextPart](raw)
 	return err
 }
 
@@ -33,3 +36,32 @@
 func EncodeRecord(owner string, total int) ([]byte, error) {
 	return encode(jobRecord{Owner: owner, Model: "m", Total: total, Parts: 1})
 }
+
+// Guards tells whether a process stands by for a job.
+func Guards(o *Owner, job string) bool {
+	o.Guard.mu.Lock()
+	defer o.Guard.mu.Unlock()
+	return o.Guard.jobs[job] != nil
+}
+
+// RunsFor tells whether a process runs a job that it does not own.
+func RunsFor(o *Owner, job string) bool {
+	o.Guard.mu.Lock()
+	defer o.Guard.mu.Unlock()
+	j := o.Guard.jobs[job]
+	return j != nil && j.run != nil
+}
+
+// MadeFor returns how many results a process has of a job that it does not own.
+func MadeFor(o *Owner, job string) int {
+	o.Guard.mu.Lock()
+	defer o.Guard.mu.Unlock()
+	j := o.Guard.jobs[job]
+	if j == nil || j.run == nil {
+		return 0
+	}
+	j.run.mu.Lock()
+	defer j.run.mu.Unlock()
+	_, results := j.run.job.Undurable()
+	return len(results)
+}
--- a/internal/agentless/batchrun/fakes_test.go
+++ b/internal/agentless/batchrun/fakes_test.go
@@ -146,6 +146,7 @@
 	server   *rpc.Server
 	stop     context.CancelFunc
 	cutOff   *atomic.Bool // from the store
+	peers    *blind       // its calls as a standby; nil: it stands by for nobody
 
 	conns  sync.Mutex
 	open   []net.Conn
--- a/internal/agentless/batchrun/itemrun.go
+++ b/internal/agentless/batchrun/itemrun.go
@@ -98,7 +98,7 @@
 	if !r.job.job.Event(r.start.Index, event.ID, event.Data, event.Version) {
 		return false
 	}
-	r.owner.sinks().event(r.job, r.job.job.Spec.Items[r.start.Index].ID, event.ID, event.Data, event.Version)
+	r.owner.sinksOf(r.job).event(r.job, r.job.job.Spec.Items[r.start.Index].ID, event.ID, event.Data, event.Version)
 	return true
 }
 
--- a/internal/agentless/batchrun/owner.go
+++ b/internal/agentless/batchrun/owner.go
@@ -56,6 +56,7 @@
 	Switches *mechanism.Switches
 	Texts    *textlog.Log // keeps texts under way; nil: nothing does
 	Copier   *Copier      // keeps them at a second process; its calls may be nil
+	Guard    *Guard       // stands by for the jobs of other owners
 	// Fellows names the processes that own jobs of models which the service has
 	// too; nil: none.
 	Fellows func(models []string) []string
@@ -104,7 +105,7 @@
 // ownedJob is one job with its lock.
 type ownedJob struct {
 	id     string
-	mark   int64 // revision of the owner's mark; changes only when it is adopted
+	mark   int64 // revision of the owner's mark; 0: another process owns it, and this one only runs it
 	parts  int   // values that hold the spec
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -129,6 +130,7 @@
 	o.running = make(chan struct{})
 	o.Copier = newCopier(o.Registry)
 	o.Copier.Owner = o
+	o.Guard = newGuard(o)
 	if o.Retry == 0 {
 		o.Retry = retryWrite
 	}
@@ -144,18 +146,6 @@
 	}
 }
 
-// sinks returns where the events of texts go.
-func (o *Owner) sinks() sinks {
-	var s sinks
-	if o.Texts != nil && o.Switches.On(mechanism.TextJournal) {
-		s = append(s, o.Texts.Gather)
-	}
-	if o.Copier.Standby != nil && o.Switches.On(mechanism.TextCopies) {
-		s = append(s, o.Copier.gather)
-	}
-	return s
-}
-
 // Register offers the owner's calls to other processes.
 func (o *Owner) Register(server *rpc.Server) error {
 	return server.RegisterName(serviceName, &Service{owner: o})
@@ -170,6 +160,7 @@
 	group.Go(func() error { return o.Texts.Run(ctx) })
 	group.Go(func() error { return o.Copier.run(ctx) })
 	group.Go(func() error { return o.tellLoads(ctx) })
+	group.Go(func() error { return o.Guard.run(ctx) })
 	return group.Wait()
 }
 
@@ -299,7 +290,7 @@
 		case <-o.wake:
 		case <-ticker.C:
 		}
-		jobs := o.open()
+		jobs := append(o.open(), o.Guard.running()...)
 		o.startRuns(jobs)
 		for _, j := range jobs {
 			o.startScores(j)
--- a/internal/agentless/batchrun/rpc.go
+++ b/internal/agentless/batchrun/rpc.go
@@ -22,6 +22,8 @@
 	callCopy    = serviceName + ".Copy"
 	callTexts   = serviceName + ".Texts"
 	callLoad    = serviceName + ".Load"
+	callGuarded = serviceName + ".Guarded"
+	callReaches = serviceName + ".Reaches"
 )
 
 // callSlack is how much longer than its own wait a call to an owner may take.
--- a/internal/agentless/batchrun/runs.go
+++ b/internal/agentless/batchrun/runs.go
@@ -46,7 +46,7 @@
 	pick.End(now, outcome, now.Sub(r.began), float64(r.made))
 	j.mu.Lock()
 	j.job.Ended(now, start.Index, how, pick.ID)
-	o.sinks().ended(j, start.Index, how)
+	o.sinksOf(j).ended(j, start.Index, how)
 	j.mu.Unlock()
 	if j.ctx.Err() == nil {
 		o.noteRun(r, how, now.Sub(r.began), err)
@@ -111,7 +111,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if how == batch.ScoreGiven {
-		o.sinks().scored(j, j.job.Spec.Items[i].ID, j.job.Made(i), score)
+		o.sinksOf(j).scored(j, j.job.Spec.Items[i].ID, j.job.Made(i), score)
 	}
 	j.job.Scored(now, i, how, score, endpoint, attempts)
 }
--- a/internal/agentless/batchrun/sinks.go
+++ b/internal/agentless/batchrun/sinks.go
@@ -1,6 +1,7 @@
 package batchrun
 
 import (
+	"siskinloom.example/siskinloom/internal/agentless/mechanism"
 	"siskinloom.example/siskinloom/internal/agentless/textlog"
 	"siskinloom.example/siskinloom/internal/policy/batch"
 )
@@ -9,6 +10,21 @@
 // are told under the job's lock, so that events come in order.
 type sinks []*textlog.Gather
 
+// sinksOf returns where the events of a job's texts go.
+func (o *Owner) sinksOf(j *ownedJob) sinks {
+	var s sinks
+	if j.mark == 0 {
+		return s // its owner's texts are kept here
+	}
+	if o.Texts != nil && o.Switches.On(mechanism.TextJournal) {
+		s = append(s, o.Texts.Gather)
+	}
+	if o.Copier.Standby != nil && o.Switches.On(mechanism.TextCopies) {
+		s = append(s, o.Copier.gather)
+	}
+	return s
+}
+
 func (s sinks) begin(j *ownedJob) {
 	texts := j.job.Texts()
 	for _, g := range s {
--- /dev/null
+++ b/internal/agentless/batchrun/witness.go
@@ -0,0 +1,33 @@
+package batchrun
+
+import "context"
+
+// Guarded implements GuardPeers.
+func (d *Desk) Guarded(ctx context.Context, owner string, args GuardedArgs) (GuardedReply, error) {
+	var reply GuardedReply
+	if err := d.call(ctx, owner, callGuarded, 0, args, &reply); err != nil {
+		return GuardedReply{}, err // the reply may still be written to
+	}
+	return reply, nil
+}
+
+// Witness implements GuardPeers.
+func (d *Desk) Witness(ctx context.Context, name string) (answers, known bool) {
+	for _, other := range without(d.otherWorkers(), name) {
+		if answers, err := d.askReaches(ctx, other.Name, name); err == nil {
+			return answers, true
+		}
+	}
+	return false, false
+}
+
+// askReaches asks a process whether another answers it.
+func (d *Desk) askReaches(ctx context.Context, witness, name string) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*pingLimit)
+	defer cancel()
+	var reply ReachesReply
+	if err := d.call(ctx, witness, callReaches, 0, ReachesArgs{Name: name}, &reply); err != nil {
+		return false, err // the reply may still be written to
+	}
+	return reply.Answers, nil
+}
--- a/internal/agentless/mechanism/mechanism.go
+++ b/internal/agentless/mechanism/mechanism.go
@@ -56,6 +56,11 @@
 	AlternateLoads Mechanism = "alternate-loads"
 	// TellLoads tells owners of items which engines load weights.
 	TellLoads Mechanism = "tell-loads"
+	// TakeOver has a job's standby take it over when its owner answers nobody, before the
+	// owner's registration lapses.
+	TakeOver Mechanism = "take-over"
+	// StandbyRuns has the standby of a lost owner run the job while the store is away.
+	StandbyRuns Mechanism = "standby-runs"
 	// Relay reaches the store by way of other processes.
 	Relay Mechanism = "relay"
 )
@@ -64,7 +69,7 @@
 func All() []Mechanism {
 	all := []Mechanism{
 		Hedges, SetAside, OwnPreference, NearFirst, MoveSlow, MoveCrowded, LongestFirst, SpareLast, ByDelay, KeepNarrow, ShareLoad,
-		LearnLengths, WholeSteps, TextJournal, TextCopies, CacheResults, ReadNear, AlternateLoads, TellLoads, Relay,
+		LearnLengths, WholeSteps, TextJournal, TextCopies, CacheResults, ReadNear, AlternateLoads, TellLoads, TakeOver, StandbyRuns, Relay,
 	}
 	sort.Slice(all, func(i, j int) bool { return all[i] < all[j] })
 	return all
--- a/internal/agentless/node/node.go
+++ b/internal/agentless/node/node.go
@@ -180,10 +180,11 @@
 	if s.Worker {
 		n.owner.Fellows, n.owner.TellLoad = n.desk.Fellows, n.desk.SendLoad
 		n.owner.Copier.Standby, n.owner.Copier.Send, n.owner.AskTexts = n.desk.Standby, n.desk.SendCopy, n.desk.AskTexts
+		n.owner.Guard.Peers = n.desk
 	}
 	n.owner.Certain = n.registrar.Certain
 	n.store.Returned = n.owner.StoreBack
-	n.store.Urgent = func() bool { return n.isScout() || len(n.owner.Jobs()) > 0 }
+	n.store.Urgent = func() bool { return n.isScout() || len(n.owner.Jobs()) > 0 || n.owner.Guard.Waits() }
 	n.owner.Spared = n.spared
 	n.owner.Adopted = func(spec *batch.Spec) {
 		modelrun.Tell(context.Background(), n.members, peers, modelrun.NeedArgs{Model: spec.Model, Version: spec.MinVersion, Items: len(spec.Items)})
--- a/internal/events/fleet.go
+++ b/internal/events/fleet.go
@@ -36,6 +36,8 @@
 	TextsNotCopied = define(2121, logrus.InfoLevel, "new events of texts did not reach the standby process")
 	StepWhole      = define(2122, logrus.InfoLevel, "step of a trainer is whole")
 	ResultsBack    = define(2123, logrus.InfoLevel, "results are written again")
+	StandbyRuns    = define(2125, logrus.WarnLevel, "standby runs a batch job whose owner is lost, as the store is away")
+	StandbyEnded   = define(2126, logrus.InfoLevel, "standby runs a batch job no longer")
 	JobsNotMoved   = define(2124, logrus.WarnLevel, "jobs of a process that is gone could not be moved")
 	JobSwept       = define(2116, logrus.InfoLevel, "old batch job removed from the store")
 	ReadFailed     = define(2114, logrus.WarnLevel, "results of a batch job could not be read")
