--- a/internal/agentless/batchrun/owner.go
+++ b/internal/agentless/batchrun/owner.go
@@ -51,7 +51,9 @@
 	Log       *logrus.Logger
 	Keep      time.Duration // how long results stay readable after submission
 	Retry     time.Duration // pause before results are written again; 0: retryWrite
-	Registry  metrics.Registry
+	// ChunkBytes bounds the results in one value of the store; 0: defaultChunkBytes.
+	ChunkBytes int
+	Registry   metrics.Registry
 
 	Switches *mechanism.Switches
 	Texts    *textlog.Log // keeps texts under way; nil: nothing does
@@ -134,6 +136,9 @@
 	if o.Retry == 0 {
 		o.Retry = retryWrite
 	}
+	if o.ChunkBytes == 0 {
+		o.ChunkBytes = defaultChunkBytes
+	}
 	o.stats = stats{
 		listed:  metrics.GetOrRegisterCounter("batch.items.listed", o.Registry),
 		aborted: metrics.GetOrRegisterCounter("batch.items.aborted", o.Registry),
