--- a/internal/agentless/batchrun/owner.go
+++ b/internal/agentless/batchrun/owner.go
@@ -90,6 +90,8 @@
 
 	running chan struct{} // closed once Run has begun
 
+	scoreTimes scoreTimes
+
 	surveyed atomic.Pointer[schedule.Load] // of all open jobs when they were last looked at; nil: never
 }
 
--- a/internal/agentless/batchrun/runs.go
+++ b/internal/agentless/batchrun/runs.go
@@ -83,7 +83,7 @@
 	for {
 		now := time.Now()
 		j.mu.Lock()
-		i, last, found := j.job.NextScore(now)
+		i, last, found := j.job.NextScore(now, o.scoreTimes.patience())
 		j.mu.Unlock()
 		if !found {
 			return
@@ -91,7 +91,7 @@
 		scorer := j.job.Spec.Items[i].Scorer
 		route := table.Match(scorer.Host, scorer.Path)
 		if route == nil {
-			o.scored(j, now, i, batch.ScoreUnsettled, "", last, 0)
+			o.scored(j, now, i, batch.ScoreUnsettled, "", 0)
 			return
 		}
 		request := endpoints.Request{Now: now, Within: true, Background: true}
@@ -100,20 +100,23 @@
 		}
 		pick := o.Directory.Pick(routes.Service(route, scorer.ID), request)
 		if pick == nil {
-			o.scored(j, now, i, batch.ScoreUnsettled, "", "", route.MaxAttempts)
+			o.scored(j, now, i, batch.ScoreUnsettled, "", route.MaxAttempts)
 			return
 		}
+		j.mu.Lock()
+		j.job.ScoringAt(i, pick.ID)
+		j.mu.Unlock()
 		o.runs.Go(func() error { o.score(j, i, pick, route.MaxAttempts); return nil })
 	}
 }
 
-func (o *Owner) scored(j *ownedJob, now time.Time, i int, how batch.ScoreEnd, score, endpoint string, attempts int) {
+func (o *Owner) scored(j *ownedJob, now time.Time, i int, how batch.ScoreEnd, score string, attempts int) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if how == batch.ScoreGiven {
-		o.sinksOf(j).scored(j, j.job.Spec.Items[i].ID, j.job.Made(i), score)
+	if made := j.job.Made(i); how == batch.ScoreGiven && made > 0 { // no other call was faster
+		o.sinksOf(j).scored(j, j.job.Spec.Items[i].ID, made, score)
 	}
-	j.job.Scored(now, i, how, score, endpoint, attempts)
+	j.job.Scored(now, i, how, score, attempts)
 }
 
 func (o *Owner) score(j *ownedJob, i int, pick *directory.Pick, attempts int) {
@@ -121,8 +124,11 @@
 	scorer := j.job.Spec.Items[i].Scorer
 	how, outcome, seal, err := o.askScorer(j, scorer, pick)
 	now := time.Now()
+	if how == batch.ScoreGiven {
+		o.scoreTimes.observe(now.Sub(began))
+	}
 	pick.End(now, outcome, now.Sub(began), 1)
-	o.scored(j, now, i, how, seal, pick.ID, attempts)
+	o.scored(j, now, i, how, seal, attempts)
 	if how != batch.ScoreGiven && j.ctx.Err() == nil {
 		fields := logrus.Fields{"job": j.id, "request": scorer.ID, "item": j.job.Spec.Items[i].ID, "endpoint": pick.ID, "failed": how == batch.ScoreFailed, "ms": now.Sub(began).Milliseconds()}
 		if err != nil {
--- a/internal/policy/batch/batch_test.go
+++ b/internal/policy/batch/batch_test.go
@@ -248,29 +248,93 @@
 		scored.Items[0].Scorer = &batch.Scorer{ID: "s"}
 		j := batch.NewJob(scored, nil)
 		s := begin(j, start)
-		_, _, ok := j.NextScore(start)
+		_, _, ok := j.NextScore(start, 0)
 		Expect(ok).To(BeFalse(), "the text is not whole")
 		write(j, s.Index, 1, 1, 3)
 		j.Ended(start, s.Index, batch.RunComplete, "e1")
-		i, last, ok := j.NextScore(start)
+		i, last, ok := j.NextScore(start, 0)
 		Expect(ok).To(BeTrue())
 		Expect(last).To(BeEmpty())
-		j.Scored(start, i, batch.ScoreFailed, "", "p1", 3)
-		i, last, ok = j.NextScore(start)
+		j.ScoringAt(i, "p1")
+		j.Scored(start, i, batch.ScoreFailed, "", 3)
+		i, last, ok = j.NextScore(start, 0)
 		Expect(ok).To(BeTrue())
 		Expect(last).To(Equal("p1"))
-		j.Scored(start, i, batch.ScoreUnsettled, "", "p2", 3)
-		_, _, ok = j.NextScore(start)
+		j.Scored(start, i, batch.ScoreUnsettled, "", 3)
+		_, _, ok = j.NextScore(start, 0)
 		Expect(ok).To(BeFalse(), "a pause follows")
 		for range 2 {
-			i, _, ok = j.NextScore(start.Add(time.Second))
+			i, _, ok = j.NextScore(start.Add(time.Second), 0)
 			Expect(ok).To(BeTrue())
-			j.Scored(start.Add(time.Second), i, batch.ScoreFailed, "", "p1", 3)
+			j.Scored(start.Add(time.Second), i, batch.ScoreFailed, "", 3)
 		}
 		_, results := j.Undurable()
 		Expect(results).To(Equal([]batch.Result{{Item: "i0", State: batch.Aborted}}))
 	})
 
+	// written returns a job whose only text wants its score.
+	written := func() *batch.Job {
+		scored := spec(1)
+		scored.Items[0].Scorer = &batch.Scorer{ID: "s"}
+		j := batch.NewJob(scored, nil)
+		s := begin(j, start)
+		write(j, s.Index, 1, 1, 3)
+		j.Ended(start, s.Index, batch.RunComplete, "e1")
+		return j
+	}
+	// asked counts the scoring calls that are made at a moment.
+	asked := func(j *batch.Job, now time.Time, patience time.Duration) int {
+		n := 0
+		for {
+			if _, _, ok := j.NextScore(now, patience); !ok {
+				return n
+			}
+			n++
+		}
+	}
+
+	It("makes all scoring calls that are left at once after the first failure", func() {
+		// A scorer that always fails takes 0.3 s a call: one after the other, its item holds
+		// its step up for 1.2 s.
+		j := written()
+		Expect(asked(j, start, 0)).To(Equal(1))
+		j.Scored(start, 0, batch.ScoreFailed, "", 4)
+		Expect(asked(j, start, 0)).To(Equal(3))
+		for range 3 {
+			_, results := j.Undurable()
+			Expect(results).To(BeEmpty())
+			j.Scored(start, 0, batch.ScoreFailed, "", 4)
+		}
+		_, results := j.Undurable()
+		Expect(results).To(Equal([]batch.Result{{Item: "i0", State: batch.Aborted}}))
+	})
+
+	It("takes the first score of several calls, and lists the item once", func() {
+		j := written()
+		Expect(asked(j, start, 0)).To(Equal(1))
+		j.Scored(start, 0, batch.ScoreFailed, "", 4)
+		Expect(asked(j, start, 0)).To(Equal(3))
+		j.Scored(start, 0, batch.ScoreFailed, "", 4)
+		j.Scored(start, 0, batch.ScoreGiven, "seal", 4)
+		j.Scored(start, 0, batch.ScoreGiven, "other", 4)
+		_, results := j.Undurable()
+		Expect(results).To(HaveLen(1))
+		Expect(results[0].Score).To(Equal("seal"))
+	})
+
+	It("joins a scoring call that takes long by one other", func() {
+		j := written()
+		patience := 500 * time.Millisecond
+		Expect(asked(j, start, patience)).To(Equal(1))
+		Expect(asked(j, start.Add(400*time.Millisecond), patience)).To(BeZero())
+		Expect(asked(j, start.Add(500*time.Millisecond), patience)).To(Equal(1))
+		Expect(asked(j, start.Add(5*time.Second), patience)).To(BeZero())
+		j.Scored(start, 0, batch.ScoreUnsettled, "", 4)
+		j.Scored(start, 0, batch.ScoreGiven, "seal", 4)
+		_, results := j.Undurable()
+		Expect(results).To(HaveLen(1))
+	})
+
 	It("gives the body of an item until it is listed", func() {
 		j := batch.NewJob(spec(1), nil)
 		body, found := j.Body("i0")
--- a/internal/policy/batch/inherit_test.go
+++ b/internal/policy/batch/inherit_test.go
@@ -30,9 +30,9 @@
 		generate(standby, 3, 1, batch.RunComplete)
 		for range 2 {
 			later := now.Add(time.Hour)
-			i, _, found := standby.NextScore(later)
+			i, _, found := standby.NextScore(later, 0)
 			Expect(found).To(BeTrue())
-			standby.Scored(later, i, batch.ScoreFailed, "", "e", 2)
+			standby.Scored(later, i, batch.ScoreFailed, "", 2)
 		}
 		owner := batch.NewJob(spec, []batch.Result{{Item: "listed", Output: []byte("before")}})
 		Expect(owner.Inherit(standby)).To(Equal(3))
--- a/internal/policy/batch/job.go
+++ b/internal/policy/batch/job.go
@@ -28,8 +28,8 @@
 type itemState struct {
 	phase         phase
 	notBefore     time.Time
-	failures      int      // answers that the item failed
-	scoreFails    int      // answers that its scoring failed
+	failures      int // answers that the item failed
+	scores        scores
 	text          [][]byte // data of the events so far
 	lastEvent     int64
 	versions      []int64   // that generated an event, in order of appearance
@@ -38,7 +38,6 @@
 	lastAt        string    // engine of the last run
 	firstRun      time.Time // when its first run began
 	runs          int
-	scoreAt       string // endpoint of the last score
 }
 
 // Job is a batch job under way. It is not safe for concurrent use.
@@ -212,56 +211,6 @@
 	j.end(i, Result{Item: j.Spec.Items[i].ID, State: Aborted})
 }
 
-// NextScore returns the index of an item whose text wants its score, with the
-// endpoint that failed it last, and marks it as being scored.
-func (j *Job) NextScore(now time.Time) (index int, last string, ok bool) {
-	if j.closed {
-		return 0, "", false
-	}
-	for i := range j.items {
-		it := &j.items[i]
-		if it.phase == written && !now.Before(it.notBefore) {
-			it.phase = scoring
-			return i, it.scoreAt, true
-		}
-	}
-	return 0, "", false
-}
-
-// ScoreEnd is how a scoring call ended.
-type ScoreEnd int
-
-// The ends of scoring calls.
-const (
-	ScoreGiven     ScoreEnd = iota
-	ScoreFailed             // the scorer answered that it failed
-	ScoreUnsettled          // no whole answer came, or the call was refused
-)
-
-// Scored takes in the end of a scoring call. attempts is how many answers of
-// failure the scorer's route allows.
-func (j *Job) Scored(now time.Time, i int, how ScoreEnd, score, endpoint string, attempts int) {
-	it := &j.items[i]
-	if it.phase != scoring {
-		return
-	}
-	it.scoreAt = endpoint
-	switch how {
-	case ScoreGiven:
-		j.complete(i, score)
-		return
-	case ScoreFailed:
-		it.scoreFails++
-		if it.scoreFails >= max(1, attempts, j.Spec.MaxAttempts) {
-			j.abort(i)
-			return
-		}
-	case ScoreUnsettled:
-		it.notBefore = now.Add(refusedPause)
-	}
-	it.phase = written
-}
-
 // Expire gives up what has not begun to be scored once the items' time is over,
 // and tells whether anything changed.
 func (j *Job) Expire(now time.Time) bool {
