--- a/internal/agentless/batchrun/fakes_test.go
+++ b/internal/agentless/batchrun/fakes_test.go
@@ -24,6 +24,7 @@
 	"siskinloom.example/siskinloom/internal/deployment"
 	"siskinloom.example/siskinloom/internal/kv"
 	"siskinloom.example/siskinloom/internal/rpcpool"
+	"siskinloom.example/siskinloom/internal/standin"
 )
 
 const (
@@ -272,3 +273,12 @@
 	DeferCleanup(p.stop)
 	return p
 }
+
+// mute is a store whose answers to commits are always lost.
+type mute struct{ *standin.Shared }
+
+func (m *mute) Commit(context.Context, kv.Transaction) (kv.Committed, error) {
+	return kv.Committed{}, kv.ErrUnknown
+}
+
+var _ dispatch.Sender = (*engines)(nil)
--- a/internal/agentless/batchrun/helpers_test.go
+++ b/internal/agentless/batchrun/helpers_test.go
@@ -11,6 +11,7 @@
 	"siskinloom.example/siskinloom/internal/agentless/batchrun"
 	"siskinloom.example/siskinloom/internal/kv"
 	"siskinloom.example/siskinloom/internal/policy/batch"
+	"siskinloom.example/siskinloom/internal/standin"
 )
 
 func spec(id string, items int) *batch.Spec {
@@ -67,3 +68,30 @@
 		ExpectWithOffset(1, r.Score).To(Equal("seal-s" + r.Item))
 	}
 }
+
+// startPair starts two processes that know each other.
+func startPair() (store *standin.Shared, llm *engines, a, b *process) {
+	store = standin.NewShared()
+	llm = &engines{sent: map[string]int{}}
+	a = newProcess("a", store, llm).run()
+	b = newProcess("b", store, llm).run()
+	EventuallyWithOffset(1, func() int { return len(a.members.Live()) }).WithTimeout(patience).Should(Equal(2))
+	return store, llm, a, b
+}
+
+// ownedOf returns which of two processes owns a job, and the other one.
+func ownedOf(a, b *process, id string) (owner, other *process) {
+	EventuallyWithOffset(2, func() bool {
+		for _, p := range []*process{a, b} {
+			if _, found := p.owner.Jobs()[id]; found {
+				owner = p
+				return true
+			}
+		}
+		return false
+	}).WithTimeout(patience).Should(BeTrue())
+	if owner == a {
+		return a, b
+	}
+	return b, a
+}
