A process without fresh news denies nothing for good

Cause: a key or a route that the operator has just added is not known at a process that is cut off from the store; nobody comes back after its 401 or 404. Ruled out: 503 for every unknown key (callers with wrong keys would come back again and again). Change: the gate asks whether the declaration may be the newest: the store, or a scout that hears from it, told the news within three seconds. If not, 503 with Retry-After.

--- a/internal/agentless/cluster/subscribe.go
+++ b/internal/agentless/cluster/subscribe.go
@@ -50,6 +50,8 @@
 	// Served is called with each answer of a scout that hears from the store; may be
 	// nil.
 	Served func()
+	// Heard is called when the store itself told all topics; may be nil.
+	Heard func()
 	// CutOff is called when all scouts answer that they do not hear from the store; may
 	// be nil.
 	CutOff func()
@@ -140,7 +142,9 @@
 		sleep(ctx, askAgainEvery)
 		return
 	}
-	s.round(ctx, watchWait, func(*Topic) bool { return true })
+	if s.round(ctx, watchWait, func(*Topic) bool { return true }) && s.Heard != nil {
+		s.Heard()
+	}
 }
 
 // round makes one call for each of some topics, and tells whether all succeeded.
--- a/internal/agentless/gate/gate.go
+++ b/internal/agentless/gate/gate.go
@@ -79,7 +79,7 @@
 const (
 	Answered     End = iota // with an endpoint's answer
 	NoRoute                 // no route allows it
-	NotReady                // this process knows no declaration yet; it did not run
+	NotReady                // this process does not know the declaration in force; it did not run
 	Unauthorized            // it bears no key of a customer
 	Refused                 // it did not run and never will
 	Unknown                 // it may have run
@@ -101,6 +101,8 @@
 type Gate struct {
 	Switches *mechanism.Switches // set before first use; may be nil
 	Usage    *usagerun.Counter   // counts what endpoints began to run; nil: nothing does
+	// Current tells whether the declaration in force here may be the newest; nil: always.
+	Current func() bool
 
 	directory *directory.Directory
 	sender    dispatch.Sender
@@ -212,6 +214,17 @@
 	events.RequestBad.Log(g.log, logrus.Fields{"request": id, "status": status, "error": why})
 }
 
+// Deny returns the outcome of a request that the declaration in force here does not
+// allow: End is NoRoute or Unauthorized. A process that has not heard from the store
+// lately may lack the newest routes and keys. Its caller would take the denial as final;
+// told to come back, it reaches a process that knows.
+func (g *Gate) Deny(end End) Outcome {
+	if g.Current != nil && !g.Current() {
+		return Starting()
+	}
+	return Outcome{End: end}
+}
+
 // TurnedAway logs a request that ends before it is served: End is NoRoute, NotReady or
 // Unauthorized.
 func (g *Gate) TurnedAway(id, host, path string, end End) {
@@ -232,7 +245,7 @@
 	return Outcome{End: Refused, RetryAfter: wait}
 }
 
-// Starting returns the outcome while this process knows no declaration.
+// Starting returns the outcome while this process knows no declaration, or not the newest.
 func Starting() Outcome { return Outcome{End: NotReady, RetryAfter: noDeclarationReturn} }
 
 // pickFor chooses an endpoint for the next attempt.
--- a/internal/agentless/node/node.go
+++ b/internal/agentless/node/node.go
@@ -132,6 +132,7 @@
 	relay     *cluster.Relay // workers only
 	usage     usageParts
 	trouble   storeTrouble
+	news      newsTime
 
 	lingering lingering
 	listed    atomic.Bool  // the endpoints are known
@@ -175,7 +176,7 @@
 	n.desk = &batchrun.Desk{Store: a.Store, Members: n.members, Peers: peers, Local: n.owner, Log: log, ValueBytes: s.ValueBytes, Models: n.directory.Models, Domain: s.FailureDomain, IsHub: s.Worker, Unreachable: n.store.Unreachable}
 	n.mover = &batchrun.Mover{Self: s.ID, Store: a.Store, Members: n.members, Log: log, Unsettled: n.trouble.recent, Answers: n.desk.Answers, Models: n.directory.Models, Tell: n.desk.TellMoved}
 	n.gate = gate.New(n.directory, a.Sender, log, registry)
-	n.gate.Switches = switches
+	n.gate.Switches, n.gate.Current = switches, n.news.current
 	n.addUsage(self, peers)
 	if s.Worker {
 		n.owner.Fellows, n.owner.TellLoad = n.desk.Fellows, n.desk.SendLoad
--- a/internal/agentless/node/views.go
+++ b/internal/agentless/node/views.go
@@ -28,6 +28,23 @@
 	lingerFor = 2 * time.Second
 )
 
+// currentFor is how long after the last word of the store, by whatever way, this process's
+// declaration may count as the newest. News are told every second; a call that goes
+// unanswered, and the next scout's answer, take as long again.
+const currentFor = 3 * time.Second
+
+// newsTime remembers when this process last heard all that the operator wrote.
+type newsTime struct {
+	last atomic.Int64 // Unix nanoseconds; 0: never
+}
+
+func (t *newsTime) note() { t.last.Store(time.Now().UnixNano()) }
+
+// current tells whether that was a moment ago.
+func (t *newsTime) current() bool {
+	return time.Since(time.Unix(0, t.last.Load())) < currentFor
+}
+
 // storeTrouble remembers when the store last failed this process.
 type storeTrouble struct {
 	last atomic.Int64 // Unix nanoseconds; 0: never
@@ -175,7 +192,7 @@
 	n := v.node
 	s := &cluster.Subscriber{
 		Store: n.adapter.Store, Topics: v.own, Members: n.members, Peers: n.desk.Peers, Self: n.registrar.Self, FirstStart: n.settings.FirstStart,
-		Failed: n.storeFailed, Recovered: n.storeBack, Served: n.store.MayBeBack, CutOff: n.store.PeersCutOff, Source: n.newsFrom,
+		Failed: n.storeFailed, Recovered: n.storeBack, Served: n.served, Heard: n.news.note, CutOff: n.store.PeersCutOff, Source: n.newsFrom,
 	}
 	for ctx.Err() == nil {
 		scout := n.isScout()
@@ -195,6 +212,20 @@
 	return nil
 }
 
+// served notes that a scout told the news.
+func (n *Node) served() {
+	n.news.note()
+	n.store.MayBeBack()
+}
+
+// heard notes that the store told this scout the news of a topic.
+func (n *Node) heard(t *cluster.Topic, asOf int64) {
+	if t.Prefix == n.adapter.Keys.Operator {
+		n.news.note()
+	}
+	n.relay.Heard(t.Prefix, asOf)
+}
+
 // endWhenChanged ends a spell when this process becomes a scout or no longer is.
 func (v *views) endWhenChanged(ctx context.Context, end context.CancelFunc, scout bool) {
 	ticker := time.NewTicker(scoutLook)
@@ -231,7 +262,7 @@
 	for _, t := range v.carried {
 		f := &cluster.Follower{
 			Store: n.adapter.Store, Topic: t.topic, Wait: t.wait, Gather: t.gather, Failed: n.storeFailed, Recovered: n.storeBack,
-			Heard: func(asOf int64) { n.relay.Heard(t.topic.Prefix, asOf) },
+			Heard: func(asOf int64) { n.heard(t.topic, asOf) },
 		}
 		group.Go(func() error { return f.Run(ctx) })
 	}
