--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GO ?= go
 
-.PHONY: capacity build test bounds bench demo soak lint fmt-check check generate
+.PHONY: capacity build test race bounds bench demo soak lint fmt-check check generate
 
 build: ## compile every program into bin/
 	$(GO) build -o bin/ ./cmd/...
@@ -8,6 +8,9 @@
 test: ## run every test
 	$(GO) test -count=1 ./...
 
+race: ## the specs of the users' platform path under the race detector
+	$(GO) test -count=1 -race ./internal/agentless/... ./platform
+
 bounds: ## deterministic figures against bench/bounds.ini
 	$(GO) run ./cmd/siskinlab bounds --file bench/bounds.ini
 
@@ -27,7 +30,7 @@
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 
-check: lint test bounds
+check: lint test race bounds
 
 generate: ## regenerate api/*pb from the schemas; needs protoc
 	./scripts/generate.sh
--- a/internal/agentless/batchrun/copies.go
+++ b/internal/agentless/batchrun/copies.go
@@ -16,6 +16,7 @@
 	"siskinloom.example/siskinloom/internal/agentless/mechanism"
 	"siskinloom.example/siskinloom/internal/agentless/textlog"
 	"siskinloom.example/siskinloom/internal/events"
+	"siskinloom.example/siskinloom/internal/periodic"
 	"siskinloom.example/siskinloom/internal/policy/batch"
 )
 
@@ -91,16 +92,8 @@
 	if c.Standby == nil {
 		return nil
 	}
-	ticker := time.NewTicker(copyEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			c.copyAll(ctx)
-		}
-	}
+	periodic.Run(ctx, copyEvery, func(time.Time) { c.copyAll(ctx) })
+	return nil
 }
 
 func (c *Copier) copyAll(ctx context.Context) {
--- a/internal/agentless/batchrun/guard.go
+++ b/internal/agentless/batchrun/guard.go
@@ -10,6 +10,7 @@
 
 	"siskinloom.example/siskinloom/internal/agentless/mechanism"
 	"siskinloom.example/siskinloom/internal/events"
+	"siskinloom.example/siskinloom/internal/periodic"
 	"siskinloom.example/siskinloom/internal/policy/batch"
 	"siskinloom.example/siskinloom/internal/policy/standby"
 )
@@ -196,16 +197,8 @@
 	if g.Peers == nil {
 		return nil
 	}
-	ticker := time.NewTicker(guardEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-		g.look(ctx, time.Now())
-	}
+	periodic.Run(ctx, guardEvery, func(now time.Time) { g.look(ctx, now) })
+	return nil
 }
 
 func (g *Guard) look(ctx context.Context, now time.Time) {
--- a/internal/agentless/modelrun/modelrun.go
+++ b/internal/agentless/modelrun/modelrun.go
@@ -16,6 +16,7 @@
 	"siskinloom.example/siskinloom/internal/agentless/mechanism"
 	"siskinloom.example/siskinloom/internal/deployment"
 	"siskinloom.example/siskinloom/internal/events"
+	"siskinloom.example/siskinloom/internal/periodic"
 	"siskinloom.example/siskinloom/internal/policy/modelplan"
 )
 
@@ -108,20 +109,14 @@
 
 // Run gives orders until ctx ends.
 func (r *Runner) Run(ctx context.Context) error {
-	ticker := time.NewTicker(planEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-		if _, leads := r.Leader.Term(time.Now()); !leads {
+	periodic.Run(ctx, planEvery, func(now time.Time) {
+		if _, leads := r.Leader.Term(now); !leads {
 			r.forget()
-			continue
+			return
 		}
 		r.plan(ctx)
-	}
+	})
+	return nil
 }
 
 func (r *Runner) forget() {
--- a/internal/agentless/usagerun/reporter.go
+++ b/internal/agentless/usagerun/reporter.go
@@ -17,6 +17,7 @@
 	"siskinloom.example/siskinloom/internal/agentless/cluster"
 	"siskinloom.example/siskinloom/internal/events"
 	"siskinloom.example/siskinloom/internal/kv"
+	"siskinloom.example/siskinloom/internal/periodic"
 	"siskinloom.example/siskinloom/internal/policy/usage"
 )
 
@@ -80,16 +81,8 @@
 // Run reports until ctx ends.
 func (r *Reporter) Run(ctx context.Context) error {
 	r.holder = usage.NewHolder(r.Rules)
-	ticker := time.NewTicker(lookEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-		r.look(ctx, time.Now())
-	}
+	periodic.Run(ctx, lookEvery, func(now time.Time) { r.look(ctx, now) })
+	return nil
 }
 
 func (r *Reporter) look(ctx context.Context, now time.Time) {
