--- a/internal/policy/usage/schedule_test.go
+++ b/internal/policy/usage/schedule_test.go
@@ -62,7 +62,6 @@
 	ledger  *usage.Ledger
 	term    int64
 	from    time.Time // may act
-	proven  time.Time // as its own clock has it, which stops while it is paused
 	paused  time.Time // until then
 	thawed  time.Time
 	command usage.Command
