A standby that ran a job for long enough keeps what it made

Cause: read in the diff: after 15 s a standby forgot what it had made of a job and began it again, as its owner was still lost. Change: it generates no more, keeps results and texts for the job's next owner, and does not begin again.

--- a/internal/agentless/batchrun/export_test.go
+++ b/internal/agentless/batchrun/export_test.go
@@ -80,3 +80,13 @@
 	_, results := j.job.Undurable()
 	return len(results)
 }
+
+// RunsNow tells whether a process generates for a job that it does not own.
+func RunsNow(o *Owner, job string) bool {
+	for _, j := range o.Guard.running() {
+		if j.id == job {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/agentless/batchrun/guard.go
+++ b/internal/agentless/batchrun/guard.go
@@ -22,8 +22,9 @@
 	rescueAgain = 200 * time.Millisecond
 	// witnessLimit bounds the question to other processes; one of them is asked at a time.
 	witnessLimit = 4 * pingLimit
-	// mostStandbyRun is the longest that a standby runs a job that it does not own.
-	mostStandbyRun = 15 * time.Second
+	// defaultRunFor is the longest that a standby runs a job that it does not own: where the
+	// store answers others, the job may have ended meanwhile.
+	defaultRunFor = 15 * time.Second
 )
 
 // GuardedArgs ask an owner how the jobs stand for which the caller stands by.
@@ -88,7 +89,8 @@
 // When an owner is lost it takes its jobs over, and while the store is away it runs them.
 // It is safe for concurrent use.
 type Guard struct {
-	Peers GuardPeers // nil: this process stands by for nobody
+	Peers  GuardPeers    // nil: this process stands by for nobody
+	RunFor time.Duration // the longest that it runs a job that it does not own
 
 	owner *Owner
 
@@ -113,7 +115,7 @@
 }
 
 func newGuard(o *Owner) *Guard {
-	return &Guard{owner: o, watch: standby.NewWatch(), jobs: map[string]*guardedJob{}}
+	return &Guard{RunFor: defaultRunFor, owner: o, watch: standby.NewWatch(), jobs: map[string]*guardedJob{}}
 }
 
 // take takes in that this process stands by for a job.
@@ -151,13 +153,14 @@
 	}
 }
 
-// running returns the jobs that this process runs without owning them.
+// running returns the jobs that this process runs without owning them, but for those
+// that it has run for long enough.
 func (g *Guard) running() []*ownedJob {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var jobs []*ownedJob
 	for _, j := range g.jobs {
-		if j.run != nil {
+		if j.run != nil && j.run.ctx.Err() == nil {
 			jobs = append(jobs, j.run)
 		}
 	}
@@ -224,16 +227,16 @@
 	}
 }
 
-// expire forgets jobs that nobody can want any more, and ends runs that went on for too
-// long; the lock is held.
+// expire forgets jobs that nobody can want any more, and ends runs of those that this
+// process has run for long enough; the lock is held.
 func (g *Guard) expire(now time.Time) {
 	for id, j := range g.jobs {
 		if now.Sub(j.spec.Submitted) > g.owner.Keep {
 			j.stop()
 			delete(g.jobs, id)
 		}
-		if j.run != nil && now.Sub(j.since) > mostStandbyRun {
-			j.stop()
+		if j.run != nil && now.Sub(j.since) > g.RunFor {
+			j.run.cancel() // what it made is kept for the job's next owner
 		}
 	}
 }
--- a/internal/agentless/batchrun/guard_test.go
+++ b/internal/agentless/batchrun/guard_test.go
@@ -126,6 +126,25 @@
 		Expect(batchrun.RunsFor(standby.owner, "j")).To(BeFalse())
 	})
 
+	It("runs it for a while only, and keeps what it made", func() {
+		// The store answers others, through whom the job may have ended long ago.
+		start(nil)
+		owner, standby := submitted()
+		standby.owner.Guard.RunFor = 100 * time.Millisecond
+		store.SetDown(true)
+		owner.stop()
+		Eventually(func() bool { return batchrun.RunsFor(standby.owner, "j") }).WithTimeout(patience).Should(BeTrue())
+		Eventually(func() bool { return batchrun.RunsNow(standby.owner, "j") }).WithTimeout(patience).Should(BeFalse())
+		sent := llm.total()
+		release()
+		Consistently(llm.total).WithTimeout(time.Second).Should(Equal(sent))
+		store.SetDown(false)
+		Eventually(results(standby, "j")).WithTimeout(patience).Should(Equal(3))
+		llm.mu.Lock()
+		defer llm.mu.Unlock()
+		Expect(llm.resumed).To(ContainElement(int64(2)), "texts go on from what the standby made")
+	})
+
 	It("leaves it alone while another process reaches its owner", func() {
 		// Only the link between the two is cut: a second owner would run every item twice.
 		start(nil)
