--- a/internal/agentless/batchrun/commit.go
+++ b/internal/agentless/batchrun/commit.go
@@ -12,13 +12,9 @@
 	"siskinloom.example/siskinloom/internal/policy/batch"
 )
 
-const (
-	// defaultChunkBytes bounds the results in one value, well under what the store takes.
-	defaultChunkBytes = 512 << 10
-	// maxChunks bounds the values of one transaction. A step's results are a megabyte or
-	// two: written one value after the other, the last would be readable half a second late.
-	maxChunks = 8
-)
+// maxChunkBytes bounds the results written by one transaction, well under what
+// the store takes as one value.
+const maxChunkBytes = 512 << 10
 
 // startWriting writes decided results if there are any and no write is under
 // way. Positions are given out by one writer at a time.
@@ -44,12 +40,12 @@
 	}()
 	for j.ctx.Err() == nil {
 		pause(j.ctx, time.Until(j.written.Add(gatherResults)))
-		c, due := o.nextChunk(j, time.Now())
+		c, due := j.nextChunk(time.Now())
 		if !due {
 			return
 		}
 		j.written = time.Now()
-		written, err := o.writeResults(j, c.position, c.results)
+		written, err := o.writeChunk(j, c.position, c.results)
 		o.noteWrite(j, c, err)
 		if err == nil {
 			o.durable(j, c.position, c.results[:written])
@@ -104,14 +100,14 @@
 }
 
 // nextChunk returns the results to write now, and counts them as sent.
-func (o *Owner) nextChunk(j *ownedJob, now time.Time) (c chunk, due bool) {
+func (j *ownedJob) nextChunk(now time.Time) (c chunk, due bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.job.Closed() || !j.job.WriteDue(now) {
 		return chunk{}, false
 	}
 	c.position, c.results = j.job.Undurable()
-	c.results = c.results[:total(chunks(c.results, o.ChunkBytes))]
+	c.results = firstChunk(c.results)
 	c.unsettled, j.sent = j.sent, true
 	return c, true
 }
@@ -127,64 +123,40 @@
 	}
 }
 
-// chunks splits results into what goes into one value of so many bytes each, as many
-// as one transaction takes.
-func chunks(results []batch.Result, most int) [][]batch.Result {
-	var split [][]batch.Result
-	begin, size := 0, 0
+func firstChunk(results []batch.Result) []batch.Result {
+	size := 0
 	for i := range results {
-		n := len(results[i].Output) + len(results[i].Score) + 64
-		if size+n > most && i > begin {
-			split = append(split, results[begin:i])
-			begin, size = i, 0
-		}
-		if len(split) == maxChunks {
-			return split
+		size += len(results[i].Output) + len(results[i].Score) + 64
+		if size > maxChunkBytes && i > 0 {
+			return results[:i]
 		}
-		size += n
-	}
-	if begin < len(results) {
-		split = append(split, results[begin:])
-	}
-	return split
-}
-
-func total(split [][]batch.Result) int {
-	n := 0
-	for _, chunk := range split {
-		n += len(chunk)
 	}
-	return n
+	return results
 }
 
 // errNotOwner is returned when another process owns the job, or nobody does.
 var errNotOwner = errors.New("batchrun: the job's mark has changed")
 
-// writeResults makes results durable from a position on and returns how many are. A
-// write whose answer was lost is repeated: if it took effect, the first of its values
+// writeChunk makes results durable from a position on and returns how many
+// are. A write whose answer was lost is repeated: if it took effect, the chunk
 // stands there and is compared.
-func (o *Owner) writeResults(j *ownedJob, position int, results []batch.Result) (int, error) {
-	t := kv.Transaction{Expect: []kv.Expectation{{Key: todoKey(o.Name, j.id), Revision: j.mark}}}
-	at := position
-	split := chunks(results, o.ChunkBytes)
-	for _, chunk := range split {
-		raw, err := encode(chunk)
-		if err != nil {
-			return 0, err
-		}
-		key := doneKey(j.id, at)
-		t.Expect = append(t.Expect, kv.Expectation{Key: key})
-		t.Puts = append(t.Puts, kv.Put{Key: key, Value: raw})
-		at += len(chunk)
+func (o *Owner) writeChunk(j *ownedJob, position int, results []batch.Result) (int, error) {
+	raw, err := encode(results)
+	if err != nil {
+		return 0, err
 	}
-	committed, err := o.Store.Commit(j.ctx, t)
+	mark, key := todoKey(o.Name, j.id), doneKey(j.id, position)
+	committed, err := o.Store.Commit(j.ctx, kv.Transaction{
+		Expect: []kv.Expectation{{Key: mark, Revision: j.mark}, {Key: key}},
+		Puts:   []kv.Put{{Key: key, Value: raw}},
+	})
 	if err != nil {
 		return 0, err
 	}
 	if committed.Done {
 		return len(results), nil
 	}
-	return o.compareChunk(j, doneKey(j.id, position), results)
+	return o.compareChunk(j, key, results)
 }
 
 func (o *Owner) compareChunk(j *ownedJob, key string, results []batch.Result) (int, error) {
--- a/internal/agentless/batchrun/export_test.go
+++ b/internal/agentless/batchrun/export_test.go
@@ -66,21 +66,6 @@
 	return len(results)
 }
 
-// Chunks splits results as they are written.
-var Chunks = chunks
-
-// Undurable returns how many results of a job are decided and not written.
-func Undurable(o *Owner, job string) int {
-	j := o.find(job)
-	if j == nil {
-		return 0
-	}
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	_, results := j.job.Undurable()
-	return len(results)
-}
-
 // RunsNow tells whether a process generates for a job that it does not own.
 func RunsNow(o *Owner, job string) bool {
 	for _, j := range o.Guard.running() {
--- a/internal/agentless/batchrun/owner.go
+++ b/internal/agentless/batchrun/owner.go
@@ -51,9 +51,7 @@
 	Log       *logrus.Logger
 	Keep      time.Duration // how long results stay readable after submission
 	Retry     time.Duration // pause before results are written again; 0: retryWrite
-	// ChunkBytes bounds the results in one value of the store; 0: defaultChunkBytes.
-	ChunkBytes int
-	Registry   metrics.Registry
+	Registry  metrics.Registry
 
 	Switches *mechanism.Switches
 	Texts    *textlog.Log // keeps texts under way; nil: nothing does
@@ -138,9 +136,6 @@
 	if o.Retry == 0 {
 		o.Retry = retryWrite
 	}
-	if o.ChunkBytes == 0 {
-		o.ChunkBytes = defaultChunkBytes
-	}
 	o.stats = stats{
 		listed:  metrics.GetOrRegisterCounter("batch.items.listed", o.Registry),
 		aborted: metrics.GetOrRegisterCounter("batch.items.aborted", o.Registry),
