The first holder of the duty reports what was told before it opened its book

Requests began in a window that ended before the first holder's book was opened, 0.1 s and a listing after it took the duty; with no report in the store the book began with the window of that moment. Ruled out: a lost telling (the ledger had the counts). Change: where no report stands, the book begins with the oldest window of which counts were told. Measured: spec "begins with the first counts that were told" fails without it; internal/policy/usage and usagerun pass.

--- a/internal/policy/usage/book.go
+++ b/internal/policy/usage/book.go
@@ -20,6 +20,7 @@
 	rules   Rules
 	next    Window // the first that is not closed
 	reports map[Window]*report
+	first   bool // no report stands, and none was closed yet
 }
 
 type report struct {
@@ -37,7 +38,7 @@
 // NewBook returns the book of a process that takes the duty. Fixed are the reports that
 // stand: those that may not have been told are told again.
 func NewBook(rules Rules, now time.Time, fixed []Report) *Book {
-	b := &Book{rules: rules, next: rules.At(now), reports: map[Window]*report{}}
+	b := &Book{rules: rules, next: rules.At(now), reports: map[Window]*report{}, first: len(fixed) == 0}
 	for i, f := range fixed {
 		if i == 0 || f.Window >= b.next {
 			b.next = f.Window + 1
@@ -64,6 +65,10 @@
 // Close returns the windows that are closed at a moment: all processes have told them,
 // or it cannot be waited for longer.
 func (b *Book) Close(now time.Time, l *Ledger, expected []Source) []Closing {
+	if oldest, found := l.Oldest(); found && b.first {
+		// The first holder there ever was: requests may have begun before it took the duty.
+		b.next = max(min(b.next, oldest), b.rules.At(now)-b.rules.Kept())
+	}
 	var closed []Closing
 	for ; !b.rules.End(b.next).After(now); b.next++ {
 		missing := l.Missing(b.next, expected)
@@ -76,6 +81,7 @@
 			b.reports[b.next] = &report{counts: c.Counts}
 		}
 		closed = append(closed, c)
+		b.first = false
 	}
 	return closed
 }
--- a/internal/policy/usage/ledger.go
+++ b/internal/policy/usage/ledger.go
@@ -58,6 +58,18 @@
 	return missing
 }
 
+// Oldest returns the first window of which counts were told; found is false if none were.
+func (l *Ledger) Oldest() (oldest Window, found bool) {
+	for _, known := range l.sources {
+		for w := range known.windows {
+			if !found || w < oldest {
+				oldest, found = w, true
+			}
+		}
+	}
+	return oldest, found
+}
+
 // Sum returns a window's counts of all processes, also of those that are gone.
 func (l *Ledger) Sum(w Window) Counts {
 	sum := Counts{}
--- a/internal/policy/usage/usage_test.go
+++ b/internal/policy/usage/usage_test.go
@@ -149,6 +149,15 @@
 		Expect(closed).To(Equal([]usage.Closing{{Report: usage.Report{Window: 100, Counts: usage.Counts{"desk": 2}}}}))
 	})
 
+	It("begins with the first counts that were told, where no report stands", func() {
+		// Requests are served before the first holder there ever was has opened its book, a
+		// moment after the window ended.
+		through(100)
+		b := usage.NewBook(rules, at(5100*time.Millisecond), nil)
+		closed := b.Close(at(5100*time.Millisecond), ledger, []usage.Source{process})
+		Expect(closed).To(Equal([]usage.Closing{{Report: usage.Report{Window: 100, Counts: usage.Counts{"desk": 2}}}}))
+	})
+
 	It("closes it without one that stays silent while another holder still has time", func() {
 		// A process is cut off. To wait for it until the report is due would leave nothing for
 		// a next holder, should this one be lost then: a lease of three seconds.
