One sender of what a standby is told, one bound of a report's call, no map between two lists

A job's standby was told of it by a goroutine of its own beside the copier's loop, so that an older message could arrive after a newer one and cut texts short there, and a job could be sent twice in one round; a report's call was bounded in the reporter and again in its adapter, as the store's calls are only there; changes of keys went through a map that nothing looked up. Change: taking a job on wakes the copier's loop; a job whose texts are about to be sent is not announced besides; the reporter leaves the bound to the Biller; KeyChanges appends.

--- a/internal/agentless/batchrun/adopt.go
+++ b/internal/agentless/batchrun/adopt.go
@@ -212,7 +212,7 @@
 	resumed := o.inherit(owned) + o.resume(owned, loaded.texts)
 	_, _, _, done := job.Counts()
 	o.mu.Unlock() // from here on the job is run
-	o.Copier.announce(owned)
+	o.Copier.announce()
 	if o.Adopted != nil {
 		o.Adopted(job.Spec)
 	}
--- a/internal/agentless/batchrun/copies.go
+++ b/internal/agentless/batchrun/copies.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/gob"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,7 +17,6 @@
 	"siskinloom.example/siskinloom/internal/agentless/mechanism"
 	"siskinloom.example/siskinloom/internal/agentless/textlog"
 	"siskinloom.example/siskinloom/internal/events"
-	"siskinloom.example/siskinloom/internal/periodic"
 	"siskinloom.example/siskinloom/internal/policy/batch"
 )
 
@@ -70,6 +70,7 @@
 
 	gather *textlog.Gather
 	bytes  metrics.Counter
+	wake   chan struct{} // a job was taken on
 
 	mu   sync.Mutex
 	sent map[string]sentTo // by job
@@ -83,7 +84,7 @@
 
 func newCopier(registry metrics.Registry) *Copier {
 	return &Copier{
-		gather: textlog.NewGather(nil), sent: map[string]sentTo{},
+		gather: textlog.NewGather(nil), sent: map[string]sentTo{}, wake: make(chan struct{}, 1),
 		bytes: metrics.GetOrRegisterCounter("texts.copied", registry),
 	}
 }
@@ -92,35 +93,46 @@
 	if c.Standby == nil {
 		return nil
 	}
-	periodic.Run(ctx, copyEvery, func(time.Time) { c.copyAll(ctx) })
-	return nil
+	ticker := time.NewTicker(copyEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-c.wake:
+		case <-ticker.C:
+		}
+		c.copyAll(ctx)
+	}
 }
 
 func (c *Copier) copyAll(ctx context.Context) {
 	var group errgroup.Group
-	for _, g := range append(c.gather.Take(leastCopied), c.unannounced()...) {
+	gathered := c.gather.Take(leastCopied)
+	for _, g := range append(gathered, c.unannounced(gathered)...) {
 		group.Go(func() error { c.copy(ctx, &g); return nil })
 	}
 	_ = group.Wait() // each notes its own failure
 }
 
-// announce tells a job's standby of it at once: an owner that dies in the first moments
-// of a step has sent no texts yet.
-func (c *Copier) announce(j *ownedJob) {
-	if c.Standby == nil || c.Send == nil || !c.Owner.Switches.On(mechanism.TakeOver) {
-		return
+// announce has a job's standby told of it at once: an owner that dies in the first
+// moments of a step has sent no texts yet. The copier's own loop sends, as what is sent
+// of a job must arrive in order.
+func (c *Copier) announce() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
 	}
-	c.Owner.runs.Go(func() error {
-		c.copy(c.Owner.lifetime, &textlog.Gathered{Job: j.id, Mark: j.mark})
-		return nil
-	})
 }
 
-// unannounced returns the jobs of which nothing was sent yet: a standby takes over those
-// without long texts as well.
-func (c *Copier) unannounced() []textlog.Gathered {
+// unannounced returns the jobs of which nothing was sent yet and nothing is about to be:
+// a standby takes over those without long texts as well.
+func (c *Copier) unannounced(about []textlog.Gathered) []textlog.Gathered {
 	var jobs []textlog.Gathered
 	for id, mark := range c.Owner.Jobs() {
+		if slices.ContainsFunc(about, func(g textlog.Gathered) bool { return g.Job == id }) {
+			continue
+		}
 		c.mu.Lock()
 		sent, found := c.sent[id]
 		c.mu.Unlock()
--- a/internal/agentless/usagerun/reporter.go
+++ b/internal/agentless/usagerun/reporter.go
@@ -26,8 +26,6 @@
 	prefixReports = "usage/"
 	// lookEvery is how often the holder looks for windows to close.
 	lookEvery = 100 * time.Millisecond
-	// sendLimit bounds a call to the platform.
-	sendLimit = time.Second
 	// againAfter and againSpread give the pause before a report is sent again.
 	againAfter  = 250 * time.Millisecond
 	againSpread = 250 * time.Millisecond
@@ -54,7 +52,7 @@
 	Term   int64 // fencing token
 }
 
-// Biller takes reports. An error means that the report may have been accepted, or may be
+// Biller takes reports, and bounds how long that may take. An error means that the report may have been accepted, or may be
 // accepted later.
 type Biller interface {
 	Report(ctx context.Context, r Report) (Verdict, error)
@@ -231,9 +229,7 @@
 	if !cluster.Fresh(r.proved) {
 		return usage.Answer{}
 	}
-	limited, cancel := context.WithTimeout(ctx, sendLimit)
-	defer cancel()
-	verdict, err := r.Biller.Report(limited, Report{Report: c.Report, Holder: r.Self, Term: c.Term})
+	verdict, err := r.Biller.Report(ctx, Report{Report: c.Report, Holder: r.Self, Term: c.Term})
 	switch {
 	case err != nil:
 		r.failed(c, err.Error())
--- a/internal/policy/routes/keychanges.go
+++ b/internal/policy/routes/keychanges.go
@@ -18,20 +18,17 @@
 // KeyChanges returns what a declaration changed of the keys that one before it had, sorted
 // by customer.
 func KeyChanges(before, after *deployment.Declaration) []KeyChange {
-	held, changes := keysByCustomer(before), map[string]KeyChange{}
+	var list []KeyChange
+	held := keysByCustomer(before)
 	for name, now := range keysByCustomer(after) {
 		c := KeyChange{Customer: name, Added: lacking(now, held[name]), Removed: lacking(held[name], now)}
 		if c.Added+c.Removed > 0 {
-			changes[name] = c
+			list = append(list, c)
 		}
 		delete(held, name)
 	}
 	for name, gone := range held {
-		changes[name] = KeyChange{Customer: name, Removed: len(gone)}
-	}
-	list := make([]KeyChange, 0, len(changes))
-	for _, c := range changes {
-		list = append(list, c)
+		list = append(list, KeyChange{Customer: name, Removed: len(gone)})
 	}
 	slices.SortFunc(list, func(a, b KeyChange) int { return strings.Compare(a.Customer, b.Customer) })
 	return list
