--- a/internal/agentless/gate/execution.go
+++ b/internal/agentless/gate/execution.go
@@ -15,6 +15,7 @@
 	"siskinloom.example/siskinloom/internal/deployment"
 	"siskinloom.example/siskinloom/internal/events"
 	"siskinloom.example/siskinloom/internal/policy/endpoints"
+	"siskinloom.example/siskinloom/internal/policy/poison"
 )
 
 // errUnverified reports an answer that carries no signature of the endpoint or whose body an
@@ -184,17 +185,23 @@
 	a, endpointOutcome := g.exchange(ctx, pick, r, remaining)
 	pick.End(time.Now(), endpointOutcome, time.Since(start), 1)
 	if !a.complete && endpointOutcome != endpoints.Cancelled {
-		g.logFailure(r.ID, pick, a.err, a.notRun)
+		g.logFailure(r, pick, a.err, a.notRun)
 	}
 	return a
 }
 
-func (g *Gate) logFailure(request string, pick *directory.Pick, err error, notRun bool) {
+// logFailure logs an attempt without an answer. The fingerprint tells whether requests that end
+// with their endpoints have the same content.
+func (g *Gate) logFailure(r *Request, pick *directory.Pick, err error, notRun bool) {
 	text := "refused"
 	if err != nil {
 		text = err.Error()
 	}
-	events.AttemptFailed.Log(g.log, logrus.Fields{"request": request, "endpoint": pick.ID, "address": pick.Address, "not_run": notRun, "error": text})
+	fields := logrus.Fields{"request": r.ID, "endpoint": pick.ID, "address": pick.Address, "not_run": notRun, "error": text}
+	if !notRun {
+		fields["fingerprint"] = poison.FormatFingerprint(r.fingerprint())
+	}
+	events.AttemptFailed.Log(g.log, fields)
 }
 
 // exchange sends the request to the picked endpoint and classifies its answer.
--- a/internal/agentless/gate/gate.go
+++ b/internal/agentless/gate/gate.go
@@ -20,6 +20,7 @@
 	"siskinloom.example/siskinloom/internal/deployment"
 	"siskinloom.example/siskinloom/internal/events"
 	"siskinloom.example/siskinloom/internal/policy/endpoints"
+	"siskinloom.example/siskinloom/internal/policy/poison"
 	"siskinloom.example/siskinloom/internal/policy/retry"
 	"siskinloom.example/siskinloom/internal/policy/routes"
 )
@@ -73,6 +74,12 @@
 	Customer string // customer on whose behalf it is sent; empty: none
 }
 
+// fingerprint returns a hash of the request's content. It is the same for each time that a
+// caller sends the request again, and for each service that a route may send it to.
+func (r *Request) fingerprint() uint64 {
+	return poison.Fingerprint(r.Body, r.Method, r.Host, r.Target)
+}
+
 // End says how a request ended.
 type End int
 
@@ -210,10 +217,14 @@
 	default:
 		event = events.RequestUnknown
 	}
-	event.Log(g.log, logrus.Fields{
+	fields := logrus.Fields{
 		"request": r.ID, "route": route.Name, "service": e.service, "end": endNames[o.End], "status": o.Status,
 		"tried": e.tried, "ms": time.Since(r.Arrived).Milliseconds(), "retry_after_ms": o.RetryAfter.Milliseconds(),
-	})
+	}
+	if event == events.RequestUnknown {
+		fields["fingerprint"] = poison.FormatFingerprint(r.fingerprint())
+	}
+	event.Log(g.log, fields)
 }
 
 // LogMalformed logs a request that is answered as malformed, or as larger than the operator
--- a/internal/agentless/gate/stream.go
+++ b/internal/agentless/gate/stream.go
@@ -95,7 +95,7 @@
 	if outcome.End == Answered && a.complete {
 		return outcome, false
 	}
-	s.gate.logFailure(s.request.ID, pick, a.err, a.notRun)
+	s.gate.logFailure(s.request, pick, a.err, a.notRun)
 	s.mayHaveRun = s.mayHaveRun || !a.notRun
 	if !a.notRun && !s.route.Repeatable() {
 		if s.headersSent {
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -237,7 +236,7 @@
 		if q.registry.RecordCrash(now, s) {
 			events.RequestQuarantined.Log(q.log, logrus.Fields{
 				"service":     s.Service,
-				"fingerprint": fmt.Sprintf("%016x", s.Fingerprint),
+				"fingerprint": poison.FormatFingerprint(s.Fingerprint),
 				"endpoint":    s.Endpoint,
 			})
 		}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -13,6 +13,7 @@
 
 	"siskinloom.example/siskinloom/internal/decl"
 	"siskinloom.example/siskinloom/internal/engineapi"
+	"siskinloom.example/siskinloom/internal/policy/poison"
 	"siskinloom.example/siskinloom/internal/wire"
 )
 
@@ -255,14 +256,7 @@
 	return ""
 }
 
-// fingerprint returns a hash of the request's content without its ID: a caller may
-// resend a request that crashed an endpoint under a new ID.
+// fingerprint returns a hash of the request's content without its ID.
 func fingerprint(req wire.Request) uint64 {
-	d := xxhash.New()
-	for _, part := range []string{req.Service, req.Method, req.Path} {
-		_, _ = d.WriteString(part)
-		_, _ = d.Write([]byte{0})
-	}
-	_, _ = d.Write(req.Body)
-	return d.Sum64()
+	return poison.Fingerprint(req.Body, req.Service, req.Method, req.Path)
 }
--- a/internal/operator/inspect.go
+++ b/internal/operator/inspect.go
@@ -15,6 +15,7 @@
 	"siskinloom.example/siskinloom/api/operatorpb"
 	"siskinloom.example/siskinloom/internal/events"
 	"siskinloom.example/siskinloom/internal/policy/config"
+	"siskinloom.example/siskinloom/internal/policy/poison"
 )
 
 const (
@@ -195,7 +196,7 @@
 			continue
 		}
 		response.Entries = append(response.Entries, &operatorpb.QuarantineEntry{
-			Fingerprint:   formatFingerprint(q.Fingerprint),
+			Fingerprint:   poison.FormatFingerprint(q.Fingerprint),
 			Service:       q.Service,
 			Endpoints:     int32(q.Endpoints),
 			ExpiresUnixMs: q.ExpiresUnix, // in milliseconds as well, in spite of its name
@@ -224,12 +225,3 @@
 	events.QuarantineReleaseRequested.Log(s.log, logrus.Fields{"operator": caller.operator, "from": caller.address, "fingerprint": r.Fingerprint, "released": released})
 	return &operatorpb.ReleaseQuarantineResponse{Released: released}, nil
 }
-
-// formatFingerprint returns a fingerprint as hexadecimal digits with leading zeros.
-func formatFingerprint(value uint64) string {
-	text := strconv.FormatUint(value, hexBase)
-	for len(text) < fingerprintDigits {
-		text = "0" + text
-	}
-	return text
-}
--- /dev/null
+++ b/internal/policy/poison/fingerprint.go
@@ -0,0 +1,24 @@
+package poison
+
+import (
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Fingerprint returns a hash of a request's content: parts such as its method and path, and
+// its body. The request's ID is no part of it, since a caller may resend a request that
+// crashed an endpoint under a new ID.
+func Fingerprint(body []byte, parts ...string) uint64 {
+	d := xxhash.New()
+	for _, part := range parts {
+		_, _ = d.WriteString(part) // a Digest's writes return no error
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(body)
+	return d.Sum64()
+}
+
+// FormatFingerprint returns a fingerprint as 16 hexadecimal digits, as logs and operators'
+// calls have it.
+func FormatFingerprint(fingerprint uint64) string { return fmt.Sprintf("%016x", fingerprint) }
