--- a/internal/agentless/cluster/members.go
+++ b/internal/agentless/cluster/members.go
@@ -7,12 +7,16 @@
 )
 
 const (
-	// prefixLive is the prefix of all keys that exist as long as a process's lease:
-	// registrations and duties. One watch covers both.
+	// prefixLive is the prefix of the keys that every process follows besides those of others:
+	// registrations and duties, which exist as long as a process's lease, and reports of
+	// crashes. One watch covers them.
 	prefixLive    = "live/"
 	prefixMembers = prefixLive + "members/"
 	// DutyPrefix is the prefix of the keys of duties.
 	DutyPrefix = prefixLive + "duty/"
+	// CrashPrefix is the prefix of the keys of reports about endpoints that ended while they ran
+	// a request.
+	CrashPrefix = prefixLive + "crashes/"
 )
 
 // Member is one process of the system.
--- a/internal/agentless/cluster/registrar.go
+++ b/internal/agentless/cluster/registrar.go
@@ -48,6 +48,8 @@
 	StoreRecentlyDown func() bool
 	// DutyVacant is called when the key of a duty is deleted; it may be nil.
 	DutyVacant func(key string)
+	// Crashes follows the reports of crashes; it may be nil.
+	Crashes CrashReports
 	// Needed reports whether an unregistered process registers now and, if not, after what
 	// time to ask again; nil means always.
 	Needed func() (needed bool, retryAfter time.Duration)
@@ -62,6 +64,12 @@
 	firstListDone bool          // whether a listing was applied; only the topic's callbacks use it
 }
 
+// CrashReports follows the records under CrashPrefix.
+type CrashReports interface {
+	Changed(kv.Record)
+	Deleted(key string)
+}
+
 // NewRegistrar returns a Registrar that has not registered the process yet.
 func NewRegistrar(store kv.TransactionalStore, self Member, ttl time.Duration, members *Members, log *logrus.Logger) *Registrar {
 	return &Registrar{Store: store, Self: self, TTL: ttl, Members: members, Log: log, reregister: make(chan struct{}, 1)}
@@ -95,6 +103,10 @@
 		r.Members.setHolder(record.Key, string(record.Value))
 		return
 	}
+	if strings.HasPrefix(record.Key, CrashPrefix) && r.Crashes != nil {
+		r.Crashes.Changed(record)
+		return
+	}
 	if !strings.HasPrefix(record.Key, prefixMembers) {
 		return
 	}
@@ -122,6 +134,12 @@
 		}
 		return
 	}
+	if strings.HasPrefix(key, CrashPrefix) {
+		if r.Crashes != nil {
+			r.Crashes.Deleted(key)
+		}
+		return
+	}
 	name := strings.TrimPrefix(key, prefixMembers)
 	storeWasDown := r.StoreRecentlyDown != nil && r.StoreRecentlyDown()
 	if r.allowLine("processes gone") {
--- a/internal/agentless/gate/execution.go
+++ b/internal/agentless/gate/execution.go
@@ -11,11 +11,13 @@
 	"siskinloom.example/siskinloom/internal/agentless/directory"
 	"siskinloom.example/siskinloom/internal/agentless/dispatch"
 	"siskinloom.example/siskinloom/internal/agentless/mechanism"
+	"siskinloom.example/siskinloom/internal/agentless/quarantine"
 	"siskinloom.example/siskinloom/internal/agentless/upstream"
 	"siskinloom.example/siskinloom/internal/deployment"
 	"siskinloom.example/siskinloom/internal/events"
 	"siskinloom.example/siskinloom/internal/policy/endpoints"
 	"siskinloom.example/siskinloom/internal/policy/poison"
+	"siskinloom.example/siskinloom/internal/policy/routes"
 )
 
 // errUnverified reports an answer that carries no signature of the endpoint or whose body an
@@ -39,6 +41,8 @@
 	service string
 	results chan attempt
 
+	fingerprint uint64 // of the request's content
+
 	tried       []string  // IDs of the endpoints that the request was sent to
 	inFlight    int       // attempts without a result so far
 	mayHaveRun  bool      // an attempt may have run
@@ -47,6 +51,20 @@
 	failure     *Outcome  // an endpoint's 5xx answer, returned if no attempt brings a better one
 }
 
+// newExecution returns the execution of a request that was not sent yet.
+func (g *Gate) newExecution(route *deployment.Route, r *Request) *execution {
+	return &execution{gate: g, route: route, request: r, service: routes.SelectService(route, r.ID), fingerprint: r.fingerprint()}
+}
+
+// quarantineOutcome returns the outcome of a request that is quarantined, and whether it is.
+func (e *execution) quarantineOutcome() (o Outcome, quarantined bool) {
+	until := e.gate.Quarantine.BlockedUntil(e.fingerprint)
+	if until.IsZero() {
+		return Outcome{}, false
+	}
+	return Outcome{End: Quarantined, RetryAfter: time.Until(until)}, true
+}
+
 // run makes attempts until one brings an answer or no attempt remains.
 func (e *execution) run(ctx context.Context) Outcome {
 	ctx, cancel := context.WithCancel(ctx) // cancels the other attempts once there is an answer
@@ -105,6 +123,7 @@
 // true if outcome is the final outcome of the request.
 func (e *execution) handleResult(ctx context.Context, a attempt) (outcome Outcome, done bool) {
 	if a.complete {
+		e.gate.Quarantine.Answered(e.fingerprint)
 		if e.ranSentAt.IsZero() || a.sent.Before(e.ranSentAt) {
 			e.ranSentAt = a.sent
 		}
@@ -129,7 +148,7 @@
 // start makes one more attempt and returns whether it did: the route must allow another
 // attempt, time must remain and an endpoint must be available.
 func (e *execution) start(ctx context.Context) bool {
-	if len(e.tried) >= e.route.MaxAttempts {
+	if len(e.tried) >= e.route.MaxAttempts || !e.gate.Quarantine.Admits(e.fingerprint, e.inFlight) {
 		return false
 	}
 	remaining := e.request.remaining(e.route, time.Now())
@@ -147,7 +166,7 @@
 		e.firstSentAt = now
 	}
 	go func() {
-		a := e.gate.attempt(ctx, pick, e.request, remaining)
+		a := e.attempt(ctx, pick, remaining)
 		a.sent = now
 		e.results <- a
 	}()
@@ -180,28 +199,45 @@
 }
 
 // attempt sends the request to one endpoint and reads the whole answer.
-func (g *Gate) attempt(ctx context.Context, pick *directory.Pick, r *Request, remaining time.Duration) attempt {
+func (e *execution) attempt(ctx context.Context, pick *directory.Pick, remaining time.Duration) attempt {
 	start := time.Now()
-	a, endpointOutcome := g.exchange(ctx, pick, r, remaining)
+	a, endpointOutcome := e.gate.exchange(ctx, pick, e.request, remaining)
 	pick.End(time.Now(), endpointOutcome, time.Since(start), 1)
 	if !a.complete && endpointOutcome != endpoints.Cancelled {
-		g.logFailure(r, pick, a.err, a.notRun)
+		e.logFailure(pick, a.err, a.notRun)
 	}
+	e.reportLoss(pick, a, endpointOutcome)
 	return a
 }
 
+// reportLoss tells the quarantine of an attempt at which the endpoint may have ended.
+func (e *execution) reportLoss(pick *directory.Pick, a attempt, outcome endpoints.Outcome) {
+	switch {
+	case outcome == endpoints.Replaced:
+		e.gate.Quarantine.EndpointReplaced(&pick.Endpoint)
+	case outcome == endpoints.BrokenAnswer && !a.notRun && !a.complete:
+		e.gate.Quarantine.ConnectionLost(e.quarantineRequest(), &pick.Endpoint)
+	}
+}
+
+// quarantineRequest describes the request for the quarantine.
+func (e *execution) quarantineRequest() quarantine.Request {
+	r := e.request
+	return quarantine.Request{ID: r.ID, Fingerprint: e.fingerprint, Method: r.Method, Host: r.Host, Path: r.Path}
+}
+
 // logFailure logs an attempt without an answer. The fingerprint tells whether requests that end
 // with their endpoints have the same content.
-func (g *Gate) logFailure(r *Request, pick *directory.Pick, err error, notRun bool) {
+func (e *execution) logFailure(pick *directory.Pick, err error, notRun bool) {
 	text := "refused"
 	if err != nil {
 		text = err.Error()
 	}
-	fields := logrus.Fields{"request": r.ID, "endpoint": pick.ID, "address": pick.Address, "not_run": notRun, "error": text}
+	fields := logrus.Fields{"request": e.request.ID, "endpoint": pick.ID, "address": pick.Address, "not_run": notRun, "error": text}
 	if !notRun {
-		fields["fingerprint"] = poison.FormatFingerprint(r.fingerprint())
+		fields["fingerprint"] = poison.FormatFingerprint(e.fingerprint)
 	}
-	events.AttemptFailed.Log(g.log, fields)
+	events.AttemptFailed.Log(e.gate.log, fields)
 }
 
 // exchange sends the request to the picked endpoint and classifies its answer.
--- a/internal/agentless/gate/gate.go
+++ b/internal/agentless/gate/gate.go
@@ -16,6 +16,7 @@
 	"siskinloom.example/siskinloom/internal/agentless/directory"
 	"siskinloom.example/siskinloom/internal/agentless/dispatch"
 	"siskinloom.example/siskinloom/internal/agentless/mechanism"
+	"siskinloom.example/siskinloom/internal/agentless/quarantine"
 	"siskinloom.example/siskinloom/internal/agentless/usagerun"
 	"siskinloom.example/siskinloom/internal/deployment"
 	"siskinloom.example/siskinloom/internal/events"
@@ -94,12 +95,13 @@
 	TimedOut                // its timeout passed; it may have run
 	Cancelled               // the caller closed the request
 	Interrupted             // the answer was cut off after its headers were sent
+	Quarantined             // it did not run, as endpoints ended under requests with its content
 )
 
 // Outcome is what is sent to the caller.
 type Outcome struct {
 	End        End
-	RetryAfter time.Duration // with Refused and NotReady: delay before the caller should retry
+	RetryAfter time.Duration // with Refused, NotReady and Quarantined: delay before the caller should retry
 	Status     int           // with Answered
 	Header     http.Header
 	Body       []byte
@@ -107,8 +109,9 @@
 
 // Gate serves requests. It is safe for concurrent use.
 type Gate struct {
-	Switches *mechanism.Switches // set before first use; may be nil
-	Usage    *usagerun.Counter   // counts the requests that endpoints started to run; nil: not counted
+	Switches   *mechanism.Switches    // set before first use; may be nil
+	Quarantine *quarantine.Quarantine // refuses requests under which endpoints end; nil: none is refused
+	Usage      *usagerun.Counter      // counts the requests that endpoints started to run; nil: not counted
 	// Current returns whether the declaration in force in this process may be the newest one;
 	// nil: always.
 	Current func() bool
@@ -117,7 +120,7 @@
 	sender    dispatch.Sender
 	log       *logrus.Logger
 	latency   metrics.Timer
-	ends      [Interrupted + 1]metrics.Counter
+	ends      [Quarantined + 1]metrics.Counter
 	hedges    metrics.Counter
 	retries   metrics.Counter
 
@@ -142,7 +145,7 @@
 
 // endNames are the names of the ends in metrics and logs. The published names of Cancelled
 // and Interrupted are "left" and "broken-off".
-var endNames = [...]string{"answered", "no-route", "not-ready", "unauthorized", "refused", "unknown", "timed-out", "left", "broken-off"}
+var endNames = [...]string{"answered", "no-route", "not-ready", "unauthorized", "refused", "unknown", "timed-out", "left", "broken-off", "quarantined"}
 
 // Table returns the routes of the declaration in force, or nil while this process knows
 // none. A request is served by one table from its arrival to its end.
@@ -167,9 +170,13 @@
 	remaining := r.remaining(route, time.Now())
 	limited, cancel := context.WithTimeout(ctx, remaining)
 	defer cancel()
-	e := &execution{gate: g, route: route, request: r, service: routes.SelectService(route, r.ID), results: make(chan attempt, route.MaxAttempts)}
+	e := g.newExecution(route, r)
+	e.results = make(chan attempt, route.MaxAttempts)
 	g.earnRetries(e.service)
-	outcome := e.run(limited)
+	outcome, quarantined := e.quarantineOutcome()
+	if !quarantined {
+		outcome = e.run(limited)
+	}
 	if started := e.startedAt(); !started.IsZero() {
 		usage.CountStart(started)
 	}
@@ -212,7 +219,7 @@
 	case Answered:
 	case Cancelled:
 		event = events.RequestCancelled
-	case NoRoute, NotReady, Unauthorized, Refused:
+	case NoRoute, NotReady, Unauthorized, Refused, Quarantined:
 		event = events.RequestRefused
 	default:
 		event = events.RequestUnknown
@@ -221,8 +228,8 @@
 		"request": r.ID, "route": route.Name, "service": e.service, "end": endNames[o.End], "status": o.Status,
 		"tried": e.tried, "ms": time.Since(r.Arrived).Milliseconds(), "retry_after_ms": o.RetryAfter.Milliseconds(),
 	}
-	if event == events.RequestUnknown {
-		fields["fingerprint"] = poison.FormatFingerprint(r.fingerprint())
+	if event == events.RequestUnknown || o.End == Quarantined {
+		fields["fingerprint"] = poison.FormatFingerprint(e.fingerprint)
 	}
 	event.Log(g.log, fields)
 }
--- a/internal/agentless/gate/stream.go
+++ b/internal/agentless/gate/stream.go
@@ -15,7 +15,6 @@
 	"siskinloom.example/siskinloom/internal/deployment"
 	"siskinloom.example/siskinloom/internal/events"
 	"siskinloom.example/siskinloom/internal/policy/endpoints"
-	"siskinloom.example/siskinloom/internal/policy/routes"
 )
 
 // streamIdleTimeout is how long an endpoint may send no event of a stream before it is
@@ -54,8 +53,11 @@
 	limited, cancel := context.WithTimeout(ctx, r.remaining(route, time.Now()))
 	defer cancel()
 	s := &stream{sink: sink, lastEvent: r.ResumeAfter, usage: usage}
-	s.execution = execution{gate: g, route: route, request: r, service: routes.SelectService(route, r.ID)}
-	outcome := s.runAttempts(limited)
+	s.execution = *g.newExecution(route, r)
+	outcome, quarantined := s.quarantineOutcome()
+	if !quarantined {
+		outcome = s.runAttempts(limited)
+	}
 	if limited.Err() != nil && outcome.End != Answered && !s.headersSent {
 		outcome = Outcome{End: TimedOut}
 	}
@@ -69,7 +71,7 @@
 // runAttempts has endpoints serve the stream, one after another, until it is complete or no
 // attempt remains.
 func (s *stream) runAttempts(ctx context.Context) Outcome {
-	for len(s.tried) < s.route.MaxAttempts && ctx.Err() == nil {
+	for len(s.tried) < s.route.MaxAttempts && ctx.Err() == nil && s.gate.Quarantine.Admits(s.fingerprint, 0) {
 		pick := s.gate.pickEndpoint(s.service, s.request, s.tried)
 		if pick == nil {
 			break
@@ -90,12 +92,20 @@
 // another endpoint may continue the stream.
 func (s *stream) attempt(ctx context.Context, pick *directory.Pick) (outcome Outcome, retry bool) {
 	start := time.Now()
+	resumedAfter := s.lastEvent
 	outcome, a, endpointOutcome := s.exchange(ctx, pick)
 	pick.End(time.Now(), endpointOutcome, time.Since(start), 0)
+	continued := s.route.Resumable && s.lastEvent > resumedAfter
+	switch {
+	case outcome.End == Answered && a.complete:
+		s.gate.Quarantine.Answered(s.fingerprint)
+	case !continued: // the next endpoint resumes elsewhere in the text, so that this end says nothing of it
+		s.reportLoss(pick, a, endpointOutcome)
+	}
 	if outcome.End == Answered && a.complete {
 		return outcome, false
 	}
-	s.gate.logFailure(s.request, pick, a.err, a.notRun)
+	s.logFailure(pick, a.err, a.notRun)
 	s.mayHaveRun = s.mayHaveRun || !a.notRun
 	if !a.notRun && !s.route.Repeatable() {
 		if s.headersSent {
--- a/internal/agentless/node/node.go
+++ b/internal/agentless/node/node.go
@@ -27,6 +27,7 @@
 	"siskinloom.example/siskinloom/internal/agentless/mechanism"
 	"siskinloom.example/siskinloom/internal/agentless/modelrun"
 	"siskinloom.example/siskinloom/internal/agentless/netcount"
+	"siskinloom.example/siskinloom/internal/agentless/quarantine"
 	"siskinloom.example/siskinloom/internal/agentless/storepath"
 	"siskinloom.example/siskinloom/internal/agentless/textlog"
 	"siskinloom.example/siskinloom/internal/agentless/usagerun"
@@ -78,6 +79,7 @@
 	Store   kv.TransactionalStore
 	Sender  dispatch.Sender
 	Engines modelrun.EngineClient
+	Prober  quarantine.Prober
 	Biller  usagerun.Biller // may be nil if usage is not reported
 	Ingress func(IngressDeps) http.Handler
 	// CloseIdle closes idle connections to the address of an endpoint that was removed.
@@ -133,20 +135,21 @@
 	listLog  *changelog.Log // bounds the lines about changes of the lists
 	registry metrics.Registry
 
-	store     *storepath.Store
-	directory *directory.Directory
-	members   *cluster.Members
-	registrar *cluster.Registrar
-	owner     *batchrun.Owner
-	frontend  *batchrun.Frontend
-	mover     *batchrun.Mover
-	gate      *gate.Gate
-	leader    *cluster.Leader
-	models    *modelrun.Runner
-	relay     *cluster.Relay // serves the store's changes; nil unless the process is a worker
-	usage     usageRoles
-	outage    storeOutage
-	contact   contactTime
+	store      *storepath.Store
+	directory  *directory.Directory
+	quarantine *quarantine.Quarantine
+	members    *cluster.Members
+	registrar  *cluster.Registrar
+	owner      *batchrun.Owner
+	frontend   *batchrun.Frontend
+	mover      *batchrun.Mover
+	gate       *gate.Gate
+	leader     *cluster.Leader
+	models     *modelrun.Runner
+	relay      *cluster.Relay // serves the store's changes; nil unless the process is a worker
+	usage      usageRoles
+	outage     storeOutage
+	contact    contactTime
 
 	removals       delayedRemovals
 	registration   fanout.Registration // only the registrar's goroutine uses it
@@ -180,6 +183,7 @@
 	n.store.Switches = switches
 	a.Store = n.store // all other components call the store through n.store
 	n.adapter = a
+	n.quarantine = quarantine.New(s.ID, a.Store, a.Prober, log, registry)
 	n.registrar = n.newRegistrar(self)
 	n.owner = &batchrun.Owner{Name: s.ID, Store: a.Store, Directory: n.directory, Sender: a.Sender, Log: log, ResultTTL: s.ResultTTL, Registry: registry, Switches: switches}
 	if s.DataDir != "" {
@@ -189,7 +193,7 @@
 	n.frontend = &batchrun.Frontend{Store: a.Store, Members: n.members, Peers: peers, Local: n.owner, Log: log, ValueBytes: s.ValueBytes, Models: n.directory.Models, Domain: s.FailureDomain, IsHub: s.Worker, Unreachable: n.store.Unreachable}
 	n.mover = &batchrun.Mover{Self: s.ID, Store: a.Store, Members: n.members, Log: log, StoreRecentlyDown: n.outage.isRecent, Answers: n.frontend.Answers, Models: n.directory.Models, NotifyOwner: n.frontend.NotifyMoved}
 	n.gate = gate.New(n.directory, a.Sender, log, registry)
-	n.gate.Switches, n.gate.Current = switches, n.contact.isCurrent
+	n.gate.Switches, n.gate.Quarantine, n.gate.Current = switches, n.quarantine, n.contact.isCurrent
 	n.addUsage(self, peers)
 	if s.Worker {
 		n.owner.OtherOwners, n.owner.SendLoad = n.frontend.OtherOwners, n.frontend.SendLoad
@@ -226,6 +230,7 @@
 	r.Needed = n.registrationNeeded
 	r.StoreRecentlyDown = n.outage.isRecent
 	r.AllowLine = n.listLog.Allow
+	r.Crashes = n.quarantine
 	return r
 }
 
@@ -275,6 +280,7 @@
 	n.follow(work, group)
 	group.Go(func() error { return n.registrar.Run(work) })
 	group.Go(func() error { return n.owner.Run(work) })
+	group.Go(func() error { return n.quarantine.Run(work) })
 	if n.leader != nil {
 		group.Go(func() error { return n.leader.Run(work) })
 		group.Go(func() error { return n.models.Run(work) })
--- a/internal/agentless/node/topics.go
+++ b/internal/agentless/node/topics.go
@@ -345,6 +345,7 @@
 		return
 	}
 	n.removals.cancel(endpoint.ID)
+	n.quarantine.EndpointListed(&endpoint)
 	known := n.directory.ServiceOf(endpoint.ID) == endpoint.Service
 	n.directory.Put(endpoint)
 	n.newestRevision.Store(max(n.newestRevision.Load(), r.Revision))
@@ -383,6 +384,7 @@
 	afterOutage := n.outage.isRecent()
 	events.EndpointGone.Log(n.log, logrus.Fields{"endpoint": id, "revision": revision, "lingers": afterOutage})
 	if !afterOutage {
+		n.quarantine.EndpointGone(id)
 		n.directory.Remove(id)
 		return
 	}
--- /dev/null
+++ b/internal/agentless/quarantine/operator.go
@@ -0,0 +1,68 @@
+package quarantine
+
+import (
+	"cmp"
+	"context"
+	"slices"
+
+	"github.com/pkg/errors"
+
+	"siskinloom.example/siskinloom/internal/agentless/cluster"
+	"siskinloom.example/siskinloom/internal/kv"
+	"siskinloom.example/siskinloom/internal/policy/poison"
+)
+
+// Suspect is a request with the reports about it, the oldest first.
+type Suspect struct {
+	Fingerprint uint64
+	Reports     []Report
+}
+
+// Quarantined reports whether there are enough reports that processes refuse the request.
+func (s *Suspect) Quarantined() bool {
+	return len(s.Reports) >= poison.SharedConfig().UnattributedCrashes
+}
+
+// List returns the requests under which endpoints ended, by their fingerprints.
+func List(ctx context.Context, store kv.TransactionalStore) ([]Suspect, error) {
+	page, err := kv.ReadAll(ctx, store, cluster.CrashPrefix)
+	if err != nil {
+		return nil, errors.Wrap(err, "quarantine: list")
+	}
+	var all []Suspect
+	for _, record := range page.Records { // sorted by key, and so by fingerprint
+		r, err := decodeReport(record.Value)
+		if err != nil {
+			return nil, errors.Wrapf(err, "key %q", record.Key)
+		}
+		if len(all) == 0 || all[len(all)-1].Fingerprint != r.Fingerprint {
+			all = append(all, Suspect{Fingerprint: r.Fingerprint})
+		}
+		last := &all[len(all)-1]
+		last.Reports = append(last.Reports, r)
+	}
+	for i := range all {
+		slices.SortFunc(all[i].Reports, func(a, b Report) int { return cmp.Compare(a.UnixMilli, b.UnixMilli) })
+	}
+	return all, nil
+}
+
+// Release removes all reports about a request, so that it may run again, and returns their
+// number.
+func Release(ctx context.Context, store kv.TransactionalStore, fingerprint uint64) (removed int, err error) {
+	page, err := kv.ReadAll(ctx, store, keyPrefix(fingerprint))
+	if err != nil {
+		return 0, errors.Wrap(err, "quarantine: release")
+	}
+	for chunk := range slices.Chunk(page.Records, kv.MaxTransactionEntries) {
+		t := kv.Transaction{}
+		for _, record := range chunk {
+			t.Remove = append(t.Remove, record.Key)
+		}
+		if _, err := store.Commit(ctx, t); err != nil {
+			return removed, errors.Wrap(err, "quarantine: release")
+		}
+		removed += len(chunk)
+	}
+	return removed, nil
+}
--- /dev/null
+++ b/internal/agentless/quarantine/quarantine.go
@@ -0,0 +1,183 @@
+// Package quarantine keeps requests under which endpoints end from reaching ever more of them.
+// A process that loses an endpoint while that runs a request reports it to the store, and every
+// process follows the reports, so that a caller's retry is recognized whichever process it
+// reaches. Package policy/poison decides which requests are refused.
+package quarantine
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"siskinloom.example/siskinloom/internal/events"
+	"siskinloom.example/siskinloom/internal/kv"
+	"siskinloom.example/siskinloom/internal/policy/poison"
+)
+
+// Prober finds out whether an endpoint still runs.
+type Prober interface {
+	// RefusesConnections reports whether nothing listens at the address, which only a connection
+	// that was refused proves.
+	RefusesConnections(ctx context.Context, address string) bool
+}
+
+// Quarantine holds the reports of endpoints that ended while they ran a request. It is safe for
+// concurrent use. A nil Quarantine admits every request.
+//
+// One lock guards the whole registry, since each crash may decide about several requests.
+type Quarantine struct {
+	self   string
+	store  kv.TransactionalStore
+	prober Prober
+	log    *logrus.Logger
+
+	reported metrics.Counter
+	blocked  metrics.Gauge
+
+	mu       sync.Mutex
+	registry *poison.Registry
+	reports  map[uint64]reportSet // by fingerprint
+	lost     map[incarnation][]lostRequest
+	wake     chan struct{} // notifies Run of what is to be written
+}
+
+// reportSet holds the reports about one request by their keys.
+type reportSet map[string]*knownReport
+
+// knownReport is a report and its state.
+type knownReport struct {
+	Report
+	state reportState
+}
+
+// reportState says where a report is on its way to the store and back.
+type reportState int
+
+const (
+	unsent    reportState = iota // the store may not have it yet
+	stored                       // the store has it
+	withdrawn                    // it no longer counts and is to be removed from the store
+	removed                      // it was removed; the topic's change follows
+)
+
+// New returns an empty Quarantine of the process self.
+func New(self string, store kv.TransactionalStore, prober Prober, log *logrus.Logger, registry metrics.Registry) *Quarantine {
+	return &Quarantine{
+		self: self, store: store, prober: prober, log: log,
+		reported: metrics.GetOrRegisterCounter("quarantine.reports", registry),
+		blocked:  metrics.GetOrRegisterGauge("quarantine.requests", registry),
+		registry: poison.New(poison.SharedConfig(), self),
+		reports:  map[uint64]reportSet{},
+		lost:     map[incarnation][]lostRequest{},
+		wake:     make(chan struct{}, 1),
+	}
+}
+
+// requestID returns the key of a request in the registry. It has no service: a route may be split
+// over services or move to another one, and the request with it.
+func requestID(fingerprint uint64) poison.ID { return poison.ID{Fingerprint: fingerprint} }
+
+// BlockedUntil returns the time until which no endpoint may run the request, or the zero time if
+// one may.
+func (q *Quarantine) BlockedUntil(fingerprint uint64) time.Time {
+	if q == nil {
+		return time.Time{}
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.registry.BlockedUntil(time.Now(), requestID(fingerprint))
+}
+
+// Admits reports whether one more copy of the request may be sent while this process runs others
+// of it.
+func (q *Quarantine) Admits(fingerprint uint64, running int) bool {
+	if q == nil {
+		return true
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.registry.Admits(time.Now(), requestID(fingerprint), running)
+}
+
+// Answered records that an endpoint answered the request. Reports about it are withdrawn: the
+// endpoints ended for another reason.
+func (q *Quarantine) Answered(fingerprint uint64) {
+	if q == nil {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.registry.RecordAnswer(time.Now(), requestID(fingerprint))
+	for _, r := range q.reports[fingerprint] {
+		if r.state < withdrawn {
+			q.withdraw(r, "answered")
+			q.notify()
+		}
+	}
+}
+
+// withdraw drops a report, and logs if that ends a quarantine. mu must be held.
+func (q *Quarantine) withdraw(r *knownReport, why string) {
+	r.state = withdrawn
+	if q.registry.Withdraw(time.Now(), r.suspicion()) {
+		events.QuarantineEnded.Log(q.log, logrus.Fields{"fingerprint": poison.FormatFingerprint(r.Fingerprint), "why": why})
+		q.countBlocked()
+	}
+}
+
+// count adds a report to the registry and logs the start of a quarantine. mu must be held.
+func (q *Quarantine) count(r *Report) {
+	if !q.registry.RecordCrash(r.at(), r.suspicion()) {
+		return
+	}
+	q.countBlocked()
+	events.RequestQuarantined.Log(q.log, logrus.Fields{
+		"fingerprint": poison.FormatFingerprint(r.Fingerprint), "method": r.Method, "host": r.Host, "path": r.Path, "endpoints": q.endpointsOf(r.Fingerprint),
+	})
+}
+
+// add adds a report that isn't known yet. mu must be held.
+func (q *Quarantine) add(key string, r *knownReport) {
+	set := q.reports[r.Fingerprint]
+	if set == nil {
+		set = reportSet{}
+		q.reports[r.Fingerprint] = set
+	}
+	set[key] = r
+	q.count(&r.Report)
+}
+
+// remove forgets a report. mu must be held.
+func (q *Quarantine) remove(fingerprint uint64, key string) {
+	set := q.reports[fingerprint]
+	delete(set, key)
+	if len(set) == 0 {
+		delete(q.reports, fingerprint)
+	}
+}
+
+// countBlocked updates the number of quarantined requests. mu must be held.
+func (q *Quarantine) countBlocked() {
+	q.blocked.Update(int64(len(q.registry.List(time.Now()))))
+}
+
+// endpointsOf returns the endpoints that ended under a request, with the process that reported
+// each. mu must be held.
+func (q *Quarantine) endpointsOf(fingerprint uint64) map[string]string {
+	reporters := map[string]string{}
+	for _, r := range q.reports[fingerprint] {
+		reporters[r.Endpoint] = r.Reporter
+	}
+	return reporters
+}
+
+// notify wakes Run.
+func (q *Quarantine) notify() {
+	select {
+	case q.wake <- struct{}{}:
+	default:
+	}
+}
--- a/internal/agentless/upstream/pool.go
+++ b/internal/agentless/upstream/pool.go
@@ -7,8 +7,11 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"siskinloom.example/siskinloom/internal/agentless/netcount"
 	"siskinloom.example/siskinloom/internal/netdial"
 )
@@ -24,6 +27,9 @@
 	// idleMargin is subtracted from the timeout that an endpoint declares: if a request
 	// crossed the endpoint's close in transit, it would be unknown whether it ran.
 	idleMargin = 100 * time.Millisecond
+	// unusedTimeout is how long a connection is kept that has carried no request yet. An
+	// endpoint says only in an answer how long it keeps a connection.
+	unusedTimeout = time.Second
 	// maxIdlePerAddress is the limit of idle connections to one endpoint. An endpoint
 	// accepts some hundred connections from all callers together.
 	maxIdlePerAddress = 16
@@ -68,6 +74,22 @@
 	return newConn(p.meter.Wrap(netcount.Endpoint, raw, address), address), nil
 }
 
+// RefusesConnections opens a connection to an address and reports whether it was refused because
+// nothing listens there. An opened connection is kept for the next request.
+func (p *Pool) RefusesConnections(ctx context.Context, address string) bool {
+	raw, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	if p.onDial != nil {
+		p.onDial()
+	}
+	c := newConn(p.meter.Wrap(netcount.Endpoint, raw, address), address)
+	c.usableUntil = time.Now().Add(unusedTimeout)
+	p.put(c)
+	return false
+}
+
 // takeIdle removes the most recently used idle connection to an address from the pool and
 // returns it, or nil if there is none.
 func (p *Pool) takeIdle(address string) *conn {
--- a/internal/events/fleet.go
+++ b/internal/events/fleet.go
@@ -12,6 +12,11 @@
 	AttemptHedged    = define(2005, logrus.InfoLevel, "endpoint is slow to answer; request also sent to a second one")
 	StreamResumed    = define(2006, logrus.WarnLevel, "stream interrupted; resuming at another endpoint")
 	RequestMalformed = define(2007, logrus.InfoLevel, "request is malformed or too large")
+
+	EndpointEndedUnder = define(2008, logrus.WarnLevel, "endpoint ended while it ran a request")
+	QuarantineEnded    = define(2009, logrus.InfoLevel, "request is no longer quarantined")
+	// CrashNotReported is repeated until the store answers; meanwhile only this process knows of the crash.
+	CrashNotReported = define(2010, logrus.WarnLevel, "report of a crash could not be written")
 )
 
 // Events of batch jobs: 2100 to 2199.
--- a/internal/policy/poison/fingerprint.go
+++ b/internal/policy/poison/fingerprint.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 )
 
 // Fingerprint returns a hash of a request's content: parts such as its method and path, and
@@ -22,3 +24,13 @@
 // FormatFingerprint returns a fingerprint as 16 hexadecimal digits, as logs and operators'
 // calls have it.
 func FormatFingerprint(fingerprint uint64) string { return fmt.Sprintf("%016x", fingerprint) }
+
+// ParseFingerprint returns the fingerprint that FormatFingerprint has written.
+func ParseFingerprint(text string) (uint64, error) {
+	const base, bits, digits = 16, 64, 16
+	if len(text) != digits {
+		return 0, errors.Errorf("poison: %q is not a fingerprint of %d hexadecimal digits", text, digits)
+	}
+	fingerprint, err := strconv.ParseUint(text, base, bits)
+	return fingerprint, errors.Wrap(err, "poison: fingerprint")
+}
--- a/internal/policy/poison/poison.go
+++ b/internal/policy/poison/poison.go
@@ -11,6 +11,10 @@
 // A poison request reaches at most two endpoints: copies of a request that was
 // never answered follow the first copy to its endpoint, and a suspect that crashed
 // two endpoints runs only on these two until it is cleared or quarantined.
+//
+// Without agents beside the endpoints nobody knows all requests that ran at a crash,
+// and requests can't be made to run alone. There the number of crashes since the last
+// answer decides; see Config.UnattributedCrashes.
 package poison
 
 import (
@@ -47,6 +51,9 @@
 	PlacementTTL         time.Duration // how long a copy at a peer restricts other copies without an update
 	MaxPlacements        int           // maximum number of placements remembered
 	MaxCopiesPerEndpoint int           // a copy follows others to an endpoint only if fewer copies than this run there
+	// UnattributedCrashes is the number of crashes at which nobody knows what else ran, and
+	// without an answer in between, that quarantine a request; 0: no number does.
+	UnattributedCrashes int
 }
 
 // DefaultConfig returns the parameters that siskinloomd uses.
@@ -63,6 +70,16 @@
 	}
 }
 
+// SharedConfig returns the parameters of processes that share endpoints without agents. An
+// answer protects a request for seconds only: that covers the crash of many endpoints at once,
+// but not a request that becomes poison, as with new weights.
+func SharedConfig() Config {
+	config := DefaultConfig()
+	config.UnattributedCrashes = 3
+	config.ClearedTTL = 4 * time.Second
+	return config
+}
+
 // suspect is the evidence against a request.
 type suspect struct {
 	crashes []wire.Suspicion // one per endpoint and crash
@@ -187,12 +204,13 @@
 	}
 }
 
-// updateQuarantine quarantines every suspect that has certainly caused two crashes. It
+// updateQuarantine quarantines every suspect that has certainly caused two crashes, or ran at
+// too many of which the cause is unknown. It
 // checks all of them, since a new report may also complete the evidence about crashes of
 // other suspects.
 func (r *Registry) updateQuarantine(now time.Time) {
 	for _, id := range sortedIDs(r.suspects) {
-		if r.causedTwoCrashes(id) {
+		if r.causedTwoCrashes(id) || r.exceedsUnattributed(id) {
 			r.quarantineSuspect(now, id)
 		}
 	}
@@ -236,6 +254,9 @@
 	s := r.suspects[id]
 	for i, a := range s.crashes {
 		for _, b := range s.crashes[i+1:] {
+			if a.Batch == 0 || b.Batch == 0 {
+				continue
+			}
 			if r.onlyPossibleCause(id, a) && r.onlyPossibleCause(id, b) && (a.Batch <= 1 || b.Batch <= 1) {
 				return true
 			}
@@ -247,6 +268,70 @@
 	return false
 }
 
+// exceedsUnattributed reports whether the request ran at UnattributedCrashes crashes at which
+// nobody knows what else ran. A request that ran beside their cause is answered by then.
+func (r *Registry) exceedsUnattributed(id ID) bool {
+	limit := r.config.UnattributedCrashes
+	return limit > 0 && r.suspects[id].unattributed() >= limit
+}
+
+// unattributed returns the number of crashes at which nobody knows what else ran.
+func (s *suspect) unattributed() int {
+	if s == nil {
+		return 0
+	}
+	n := 0
+	for _, c := range s.crashes {
+		if c.Batch == 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// Admits reports whether one more copy of the request may start while the caller runs others
+// of it. If all of them crashed their endpoints, no more than UnattributedCrashes would have
+// crashed.
+func (r *Registry) Admits(now time.Time, id ID, running int) bool {
+	if r.Verdict(now, id) == Blocked {
+		return false
+	}
+	limit := r.config.UnattributedCrashes
+	return limit <= 0 || r.suspects[id].unattributed()+running < limit
+}
+
+// Withdraw drops a crash, since its report was withdrawn: the request was answered, an operator
+// released it, or the report is too old. It reports whether that ends a quarantine.
+func (r *Registry) Withdraw(now time.Time, c wire.Suspicion) bool {
+	id := ID{Service: c.Service, Fingerprint: c.Fingerprint}
+	for _, group := range []map[ID]*suspect{r.suspects, r.clearedSuspects, r.quarantinedSuspects} {
+		if s := group[id]; s != nil {
+			s.crashes = slices.DeleteFunc(s.crashes, func(x wire.Suspicion) bool { return r.same(x, c) })
+			if len(s.crashes) == 0 {
+				delete(group, id)
+			}
+		}
+	}
+	r.expire(now, id)
+	if r.quarantine[id] == nil || r.quarantinedSuspects[id].unattributed() >= r.config.UnattributedCrashes {
+		return false
+	}
+	if s := r.quarantinedSuspects[id]; s != nil {
+		r.suspects[id] = s
+		delete(r.quarantinedSuspects, id)
+	}
+	delete(r.quarantine, id)
+	return true
+}
+
+// BlockedUntil returns the end of the request's quarantine, or the zero time if it has none.
+func (r *Registry) BlockedUntil(now time.Time, id ID) time.Time {
+	if r.Verdict(now, id) != Blocked {
+		return time.Time{}
+	}
+	return time.UnixMilli(r.quarantine[id].ExpiresUnix)
+}
+
 // onlyPossibleCause reports whether no other known request may have caused the crash.
 func (r *Registry) onlyPossibleCause(id ID, c wire.Suspicion) bool {
 	return c.Batch <= 1 || !r.othersAt(r.suspects, id, c) && !r.explained(c)
@@ -335,6 +420,10 @@
 	}
 }
 
+// RecentlyAnswered reports whether the request was answered within ClearedTTL. A process doesn't
+// report a crash of such a request if it can't tell what else ran.
+func (r *Registry) RecentlyAnswered(now time.Time, id ID) bool { return r.isCleared(now, id) }
+
 // isCleared reports whether the request was answered recently.
 func (r *Registry) isCleared(now time.Time, id ID) bool {
 	r.rotateCleared(now)
--- a/internal/policy/poison/poison_test.go
+++ b/internal/policy/poison/poison_test.go
@@ -242,3 +242,78 @@
 		Expect(other.Busy(id(1), "entry-2")).To(BeFalse())
 	})
 })
+
+var _ = Describe("Registry without agents", func() {
+	var r *poison.Registry
+	var now time.Time
+	id := func(fingerprint uint64) poison.ID { return poison.ID{Fingerprint: fingerprint} }
+	end := func(fingerprint uint64, endpoint string) wire.Suspicion {
+		return wire.Suspicion{Fingerprint: fingerprint, Endpoint: endpoint, Crash: 1, UnixMilli: now.UnixMilli()}
+	}
+
+	BeforeEach(func() {
+		r = poison.New(poison.SharedConfig(), "entry-2")
+		now = time.Unix(1000, 0)
+	})
+
+	It("quarantines a request at the third endpoint that ended under it", func() {
+		Expect(r.RecordCrash(now, end(1, "a"))).To(BeFalse())
+		Expect(r.RecordCrash(now, end(1, "a"))).To(BeFalse(), "the same end, reported twice")
+		Expect(r.RecordCrash(now, end(1, "b"))).To(BeFalse())
+		Expect(r.Admits(now, id(1), 0)).To(BeTrue())
+		Expect(r.RecordCrash(now, end(1, "c"))).To(BeTrue())
+		Expect(r.Admits(now, id(1), 0)).To(BeFalse())
+		Expect(r.BlockedUntil(now, id(1))).To(Equal(now.Add(poison.SharedConfig().QuarantineTTL)))
+		Expect(r.Verdict(now, id(2))).To(Equal(poison.Unrestricted))
+		Expect(r.BlockedUntil(now, id(2))).To(BeZero())
+	})
+
+	// Hedges and retries of one try would take more endpoints than the limit before any of them
+	// has ended.
+	It("admits only as many copies as may end endpoints", func() {
+		Expect(r.Admits(now, id(1), 2)).To(BeTrue())
+		Expect(r.Admits(now, id(1), 3)).To(BeFalse())
+		r.RecordCrash(now, end(1, "a"))
+		Expect(r.Admits(now, id(1), 1)).To(BeTrue())
+		Expect(r.Admits(now, id(1), 2)).To(BeFalse())
+	})
+
+	// Without knowledge of what else ran, an innocent request that is alone in the books must not
+	// count as the certain cause of two crashes.
+	It("doesn't quarantine for two ends", func() {
+		r.RecordCrash(now, end(1, "a"))
+		Expect(r.RecordCrash(now, end(1, "b"))).To(BeFalse())
+		Expect(r.Verdict(now, id(1))).NotTo(Equal(poison.Blocked))
+	})
+
+	It("counts anew after an answer", func() {
+		r.RecordCrash(now, end(1, "a"))
+		r.RecordCrash(now, end(1, "b"))
+		r.RecordAnswer(now, id(1))
+		Expect(r.RecentlyAnswered(now, id(1))).To(BeTrue())
+		now = now.Add(poison.SharedConfig().ClearedTTL)
+		Expect(r.RecentlyAnswered(now, id(1))).To(BeFalse())
+		Expect(r.RecordCrash(now, end(1, "c"))).To(BeFalse())
+		Expect(r.Admits(now, id(1), 1)).To(BeTrue())
+	})
+
+	It("ends a quarantine when one of its reports is withdrawn, and keeps the others", func() {
+		for _, endpoint := range []string{"a", "b", "c", "d"} {
+			r.RecordCrash(now, end(1, endpoint))
+		}
+		Expect(r.Withdraw(now, end(1, "d"))).To(BeFalse())
+		Expect(r.Withdraw(now, end(1, "c"))).To(BeTrue())
+		Expect(r.Admits(now, id(1), 0)).To(BeTrue())
+		Expect(r.RecordCrash(now, end(1, "e"))).To(BeTrue())
+	})
+
+	It("lets quarantines expire", func() {
+		for _, endpoint := range []string{"a", "b", "c"} {
+			r.RecordCrash(now, end(1, endpoint))
+		}
+		now = now.Add(poison.SharedConfig().QuarantineTTL - time.Second)
+		Expect(r.Admits(now, id(1), 0)).To(BeFalse())
+		now = now.Add(time.Second)
+		Expect(r.Admits(now, id(1), 0)).To(BeTrue())
+	})
+})
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -288,7 +288,7 @@
 	Fingerprint uint64
 	Service     string
 	Endpoint    string
-	Batch       int // number of different requests that ran at the time, including this one
+	Batch       int // number of different requests that ran at the time, including this one; 0 if nobody knows
 	UnixMilli   int64
 	Crash       int64 // identifies the crash among the endpoint's crashes; 0 if unknown
 	Cleared     bool  // an endpoint has answered the same request
