--- a/internal/agentless/batchrun/itemrun.go
+++ b/internal/agentless/batchrun/itemrun.go
@@ -11,9 +11,11 @@
 	"siskinloom.example/siskinloom/internal/agentless/directory"
 	"siskinloom.example/siskinloom/internal/agentless/dispatch"
 	"siskinloom.example/siskinloom/internal/agentless/mechanism"
+	"siskinloom.example/siskinloom/internal/agentless/quarantine"
 	"siskinloom.example/siskinloom/internal/agentless/upstream"
 	"siskinloom.example/siskinloom/internal/policy/batch"
 	"siskinloom.example/siskinloom/internal/policy/endpoints"
+	"siskinloom.example/siskinloom/internal/policy/poison"
 	"siskinloom.example/siskinloom/internal/policy/schedule"
 )
 
@@ -175,6 +177,28 @@
 // speed.
 func (p *pace) measured() (float64, bool) { return p.mean, p.gaps >= minPaceEvents }
 
+// itemFingerprint returns the fingerprint of an item's content. It is the same in each job that
+// has the item.
+func itemFingerprint(spec *batch.Spec, i int) uint64 {
+	item := &spec.Items[i]
+	return poison.Fingerprint(item.Body, http.MethodPost, spec.Host, item.Path)
+}
+
+// reportEnd tells the quarantine how the run ended. A run that was broken off after it continued
+// the text says nothing: the next engine resumes elsewhere in the text.
+func (r *itemRun) reportEnd(runOutcome batch.RunOutcome, endpointOutcome endpoints.Outcome) {
+	q, spec, i := r.owner.Quarantine, r.job.job.Spec, r.start.Index
+	switch {
+	case endpointOutcome == endpoints.Answered:
+		q.Answered(itemFingerprint(spec, i))
+	case endpointOutcome == endpoints.Replaced:
+		q.EndpointReplaced(&r.pick.Endpoint)
+	case runOutcome == batch.RunInterrupted && endpointOutcome == endpoints.BrokenAnswer && r.generated == 0:
+		item := &spec.Items[i]
+		q.ConnectionLost(quarantine.Request{ID: item.ID, Fingerprint: itemFingerprint(spec, i), Method: http.MethodPost, Host: spec.Host, Path: item.Path}, &r.pick.Endpoint)
+	}
+}
+
 func itemRequest(spec *batch.Spec, start batch.RunStart) *dispatch.Request {
 	item := &spec.Items[start.Index]
 	header := http.Header{}
--- a/internal/agentless/batchrun/owner.go
+++ b/internal/agentless/batchrun/owner.go
@@ -17,6 +17,7 @@
 	"siskinloom.example/siskinloom/internal/agentless/directory"
 	"siskinloom.example/siskinloom/internal/agentless/dispatch"
 	"siskinloom.example/siskinloom/internal/agentless/mechanism"
+	"siskinloom.example/siskinloom/internal/agentless/quarantine"
 	"siskinloom.example/siskinloom/internal/agentless/textlog"
 	"siskinloom.example/siskinloom/internal/events"
 	"siskinloom.example/siskinloom/internal/kv"
@@ -52,10 +53,11 @@
 	RetryDelay time.Duration // delay before a failed write of results is retried; 0: writeRetryDelay
 	Registry   metrics.Registry
 
-	Switches *mechanism.Switches
-	Texts    *textlog.Log // stores partial texts on disk; nil: they are not stored
-	Copier   *Copier      // replicates partial texts to a standby; its functions may be nil
-	Standby  *Standby     // takes over jobs of other owners that are lost
+	Switches   *mechanism.Switches
+	Quarantine *quarantine.Quarantine // refuses items and scoring calls under which endpoints end; nil: none is refused
+	Texts      *textlog.Log           // stores partial texts on disk; nil: they are not stored
+	Copier     *Copier                // replicates partial texts to a standby; its functions may be nil
+	Standby    *Standby               // takes over jobs of other owners that are lost
 	// OtherOwners returns the other processes that own jobs of these models; nil means that
 	// there are none.
 	OtherOwners func(models []string) []string
--- a/internal/agentless/batchrun/runs.go
+++ b/internal/agentless/batchrun/runs.go
@@ -11,16 +11,20 @@
 
 	"siskinloom.example/siskinloom/internal/agentless/directory"
 	"siskinloom.example/siskinloom/internal/agentless/dispatch"
+	"siskinloom.example/siskinloom/internal/agentless/quarantine"
 	"siskinloom.example/siskinloom/internal/agentless/upstream"
 	"siskinloom.example/siskinloom/internal/events"
 	"siskinloom.example/siskinloom/internal/policy/batch"
 	"siskinloom.example/siskinloom/internal/policy/endpoints"
+	"siskinloom.example/siskinloom/internal/policy/poison"
 	"siskinloom.example/siskinloom/internal/policy/routes"
 )
 
 const (
 	// noEngineDelay is how long an item waits after no engine was available for it.
 	noEngineDelay = 25 * time.Millisecond
+	// quarantineDelay is how long a quarantined item waits before it is looked at again.
+	quarantineDelay = time.Second
 	// noRouteDelay is how long an item waits after no route matched it.
 	noRouteDelay = 500 * time.Millisecond
 	// firstEventTimeout is the timeout for the first event of a run. A batch that loads new
@@ -44,6 +48,7 @@
 		pick.ObservePace(seconds)
 	}
 	pick.End(now, endpointOutcome, now.Sub(r.began), float64(r.generated))
+	r.reportEnd(runOutcome, endpointOutcome)
 	j.mu.Lock()
 	j.job.RunEnded(now, start.Index, runOutcome, pick.ID)
 	o.sinksOf(j).ended(j, start.Index, runOutcome)
@@ -90,6 +95,10 @@
 			return
 		}
 		scorer := j.job.Spec.Items[i].Scorer
+		if !o.Quarantine.Admits(scorerFingerprint(scorer), 0) {
+			o.scored(j, now, i, batch.ScoreQuarantined, "", 0)
+			continue
+		}
 		route := table.Match(scorer.Host, scorer.Path)
 		if route == nil {
 			o.scored(j, now, i, batch.ScoreRetryable, "", 0)
@@ -129,6 +138,7 @@
 		o.scoreTimes.observe(now.Sub(began))
 	}
 	pick.End(now, endpointOutcome, now.Sub(began), 1)
+	o.reportScoring(scorer, pick, endpointOutcome)
 	o.scored(j, now, i, scoreOutcome, seal, attempts)
 	if scoreOutcome != batch.ScoreGiven && j.ctx.Err() == nil {
 		fields := logrus.Fields{"job": j.id, "request": scorer.ID, "item": j.job.Spec.Items[i].ID, "endpoint": pick.ID, "failed": scoreOutcome == batch.ScoreFailed, "ms": now.Sub(began).Milliseconds()}
@@ -140,6 +150,23 @@
 	o.wakeDispatch()
 }
 
+// scorerFingerprint returns the fingerprint of a scoring call's content.
+func scorerFingerprint(s *batch.Scorer) uint64 {
+	return poison.Fingerprint(s.Body, http.MethodPost, s.Host, s.Path)
+}
+
+// reportScoring tells the quarantine how a scoring call ended.
+func (o *Owner) reportScoring(s *batch.Scorer, pick *directory.Pick, outcome endpoints.Outcome) {
+	switch outcome {
+	case endpoints.Answered:
+		o.Quarantine.Answered(scorerFingerprint(s))
+	case endpoints.Replaced:
+		o.Quarantine.EndpointReplaced(&pick.Endpoint)
+	case endpoints.BrokenAnswer:
+		o.Quarantine.ConnectionLost(quarantine.Request{ID: s.ID, Fingerprint: scorerFingerprint(s), Method: http.MethodPost, Host: s.Host, Path: s.Path}, &pick.Endpoint)
+	}
+}
+
 func (o *Owner) askScorer(j *ownedJob, scorer *batch.Scorer, pick *directory.Pick) (batch.ScoreOutcome, endpoints.Outcome, string, error) {
 	ctx, cancel := context.WithTimeout(j.ctx, scoreTimeout)
 	defer cancel()
--- a/internal/agentless/batchrun/scheduling.go
+++ b/internal/agentless/batchrun/scheduling.go
@@ -117,6 +117,10 @@
 	j.mu.Lock()
 	start := j.job.StartRun(c.Index)
 	j.mu.Unlock()
+	if !r.owner.Quarantine.Admits(itemFingerprint(j.job.Spec, c.Index), 0) {
+		j.postpone(c.Index, r.now.Add(quarantineDelay))
+		return
+	}
 	item := &j.job.Spec.Items[c.Index]
 	route := r.table.Match(j.job.Spec.Host, item.Path)
 	if route == nil {
--- a/internal/policy/batch/job.go
+++ b/internal/policy/batch/job.go
@@ -20,6 +20,8 @@
 	// refusalBackoff is the delay after an engine or a scorer refused a request: about the
 	// time until one of an engine's slots becomes free.
 	refusalBackoff = 40 * time.Millisecond
+	// quarantineBackoff is the delay after a quarantined scoring call was not made.
+	quarantineBackoff = time.Second
 	// interruptionBackoff is the delay after a run was interrupted, so that an engine which
 	// resets every connection does not take up all of the owner's time.
 	interruptionBackoff = 20 * time.Millisecond
--- a/internal/policy/batch/score.go
+++ b/internal/policy/batch/score.go
@@ -56,9 +56,10 @@
 
 // The outcomes of scoring calls.
 const (
-	ScoreGiven     ScoreOutcome = iota
-	ScoreFailed                 // the scorer reported a failure
-	ScoreRetryable              // the call was refused, or no complete answer arrived
+	ScoreGiven       ScoreOutcome = iota
+	ScoreFailed                   // the scorer reported a failure
+	ScoreRetryable                // the call was refused, or no complete answer arrived
+	ScoreQuarantined              // the call was not made, as it ends its endpoints
 )
 
 // ScoringEnded records that a scoring call ended. maxAttempts is the number of failures that
@@ -82,6 +83,8 @@
 		}
 	case ScoreRetryable:
 		it.notBefore = now.Add(refusalBackoff)
+	case ScoreQuarantined:
+		it.notBefore = now.Add(quarantineBackoff)
 	}
 	if it.scoringCalls.inFlight == 0 {
 		it.phase = generated
