--- a/cmd/siskinlab/main.go
+++ b/cmd/siskinlab/main.go
@@ -17,6 +17,7 @@
 	"siskinloom.example/siskinloom/internal/lab/changefeed"
 	"siskinloom.example/siskinloom/internal/lab/config"
 	"siskinloom.example/siskinloom/internal/lab/fanout"
+	"siskinloom.example/siskinloom/internal/lab/quarantine"
 	"siskinloom.example/siskinloom/internal/lab/rollout"
 	"siskinloom.example/siskinloom/internal/lab/routing"
 	"siskinloom.example/siskinloom/internal/lab/weights"
@@ -32,6 +33,7 @@
 	all = append(all, weights.Bounds()...)
 	all = append(all, changefeed.Bounds()...)
 	all = append(all, fanout.Bounds()...)
+	all = append(all, quarantine.Bounds()...)
 	return all
 }
 
--- /dev/null
+++ b/internal/lab/quarantine/bounds.go
@@ -0,0 +1,79 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"siskinloom.example/siskinloom/internal/bounds"
+	"siskinloom.example/siskinloom/internal/lab/seeds"
+)
+
+// schedules is the number of schedules of each scenario.
+const schedules = 100
+
+// Bounds returns the measurements of this package.
+func Bounds() []bounds.Measurement {
+	return []bounds.Measurement{{Name: "quarantine", Run: measure}}
+}
+
+// total sums up schedules.
+type total struct {
+	mu                      sync.Mutex
+	maxEnds, maxLateRuns    int
+	ends, innocent, refused int
+}
+
+// play plays schedules of a scenario.
+func play(s scenario) *total {
+	sum := &total{}
+	seeds.Each(schedules, func(seed uint64) {
+		m := newModel(s, seed)
+		m.run()
+		sum.mu.Lock()
+		defer sum.mu.Unlock()
+		sum.maxEnds = max(sum.maxEnds, m.poisonEnds)
+		sum.maxLateRuns = max(sum.maxLateRuns, m.lateRuns)
+		sum.ends += m.poisonEnds
+		sum.innocent += m.innocent
+		sum.refused += m.refused
+	})
+	return sum
+}
+
+// refusedShare returns the share of innocent requests that were refused as quarantined.
+func (t *total) refusedShare() float64 { return float64(t.refused) / float64(t.innocent) }
+
+func measure() ([]bounds.Figure, error) {
+	var figures []bounds.Figure
+	for _, size := range []struct{ entries, endpoints int }{{3, 3}, {40, 19}, {440, 40}} {
+		s := scenario{entries: size.entries, endpoints: size.endpoints, duration: time.Minute, requestsPerSecond: 40, popularShare: 0.2, poison: true}
+		suffix := "." + strconv.Itoa(size.entries)
+		calm := play(s)
+		figures = append(figures,
+			bounds.Figure{Name: "quarantine.poison_endpoints" + suffix, Value: float64(calm.maxEnds)},
+			bounds.Figure{Name: "quarantine.poison_endpoints_mean" + suffix, Value: float64(calm.ends) / schedules},
+			bounds.Figure{Name: "quarantine.late_runs" + suffix, Value: float64(calm.maxLateRuns)},
+			bounds.Figure{Name: "quarantine.innocent_refused" + suffix, Value: calm.refusedShare()})
+		s.unlimited = true
+		figures = append(figures, bounds.Figure{Name: "quarantine.late_runs" + suffix + ".baseline", Value: float64(play(s).maxLateRuns)})
+		s.unlimited, s.poison, s.meanLife, s.massEndAt = false, false, strayLife, s.duration/2
+		stray := play(s)
+		figures = append(figures,
+			bounds.Figure{Name: "quarantine.innocent_refused" + suffix + ".stray", Value: stray.refusedShare()})
+	}
+	return figures, nil
+}
+
+// strayLife is the mean life of an endpoint on a day with ten times the ends of a rough one, on
+// which an endpoint ends about every two minutes.
+const strayLife = 12 * time.Second
+
+// sortTries orders tries by their content and by how far they are.
+func sortTries(tries []*try) {
+	slices.SortFunc(tries, func(a, b *try) int {
+		return cmp.Or(cmp.Compare(a.fingerprint, b.fingerprint), cmp.Compare(a.tried, b.tried), cmp.Compare(a.inFlight, b.inFlight), cmp.Compare(a.retries, b.retries))
+	})
+}
--- /dev/null
+++ b/internal/lab/quarantine/reports.go
@@ -0,0 +1,110 @@
+package quarantine
+
+import (
+	"strconv"
+	"time"
+
+	"siskinloom.example/siskinloom/internal/policy/poison"
+	"siskinloom.example/siskinloom/internal/wire"
+)
+
+// scheduleEnd ends an endpoint for a reason of its own, after a drawn time.
+func (m *model) scheduleEnd(e *endpoint) {
+	if m.meanLife <= 0 {
+		return
+	}
+	run := e.run
+	m.t.After(time.Duration(m.random.ExpFloat64()*float64(m.meanLife)), func() {
+		if e.up && e.run == run {
+			m.endEndpoint(e)
+		}
+	})
+}
+
+// endHalf ends half of the endpoints at once.
+func (m *model) endHalf() {
+	for i, e := range m.list {
+		if i%2 == 0 && e.up {
+			m.endEndpoint(e)
+		}
+	}
+}
+
+// endEndpoint ends an endpoint. The entries whose attempts ran there report it and retry.
+func (m *model) endEndpoint(e *endpoint) {
+	e.up = false
+	lost := e.attempts
+	e.attempts = map[*attempt]bool{}
+	for _, t := range m.inOrder(lost) {
+		t.inFlight--
+		m.report(t.entry, wire.Suspicion{Fingerprint: t.fingerprint, Endpoint: strconv.Itoa(e.id), Crash: e.run, UnixMilli: m.t.Now().UnixMilli()})
+		m.start(t)
+	}
+	m.t.After(m.between(restartMin, restartMin+restartSpread), func() {
+		e.up = true
+		e.run++
+		m.scheduleEnd(e)
+	})
+}
+
+// inOrder returns the tries of attempts, ordered so that a seed always plays the same schedule.
+func (m *model) inOrder(attempts map[*attempt]bool) []*try {
+	var tries []*try
+	for _, p := range m.processes {
+		var own []*try
+		for a := range attempts {
+			if a.try.entry == p {
+				own = append(own, a.try)
+			}
+		}
+		sortTries(own)
+		tries = append(tries, own...)
+	}
+	return tries
+}
+
+// report has an entry count an end and tell the others, as quarantine.Quarantine does.
+func (m *model) report(from *entry, s wire.Suspicion) {
+	if m.unlimited || from.registry.RecentlyAnswered(m.t.Now(), poison.ID{Fingerprint: s.Fingerprint}) {
+		return
+	}
+	m.count(from, s)
+	m.broadcast(from, func(p *entry) { m.count(p, s) })
+}
+
+func (m *model) count(p *entry, s wire.Suspicion) {
+	p.reports[s.Fingerprint] = append(p.reports[s.Fingerprint], s)
+	p.registry.RecordCrash(m.t.Now(), s)
+}
+
+// withdraw has an entry withdraw all reports about a request, and tell the others.
+func (m *model) withdraw(from *entry, fingerprint uint64) {
+	reports := from.reports[fingerprint]
+	if len(reports) == 0 {
+		return
+	}
+	m.drop(from, reports)
+	m.broadcast(from, func(p *entry) { m.drop(p, reports) })
+}
+
+func (m *model) drop(p *entry, reports []wire.Suspicion) {
+	for _, s := range reports {
+		p.registry.Withdraw(m.t.Now(), s)
+	}
+	delete(p.reports, reports[0].Fingerprint)
+}
+
+// broadcast has the other entries apply a change after the delay of the news, which is now and
+// then as long as the change of a source of updates takes.
+func (m *model) broadcast(from *entry, apply func(*entry)) {
+	for _, p := range m.processes {
+		if p == from {
+			continue
+		}
+		delay := m.between(5*time.Millisecond, 40*time.Millisecond)
+		if m.random.IntN(100) == 0 {
+			delay = m.between(200*time.Millisecond, 1500*time.Millisecond)
+		}
+		m.t.After(delay, func() { apply(p) })
+	}
+}
