--- a/cmd/siskinctl/main.go
+++ b/cmd/siskinctl/main.go
@@ -10,11 +10,16 @@
 	"syscall"
 
 	"siskinloom.example/siskinloom/internal/ctl"
+	"siskinloom.example/siskinloom/internal/kv"
+	"siskinloom.example/siskinloom/platform"
 )
 
+// openStore opens the platform's store at an address.
+func openStore(address string) kv.TransactionalStore { return platform.NewStore(address, nil) }
+
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	err := ctl.Command().ExecuteContext(ctx)
+	err := ctl.Command(openStore).ExecuteContext(ctx)
 	stop()
 	if err != nil && err.Error() != "" {
 		fmt.Fprintln(os.Stderr, "siskinctl:", err)
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -6,6 +6,8 @@
 	"github.com/spf13/cobra"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
+
+	"siskinloom.example/siskinloom/internal/kv"
 )
 
 // Exit codes of siskinctl.
@@ -61,8 +63,8 @@
 	json       bool
 }
 
-// Command returns the tool's root command.
-func Command() *cobra.Command {
+// Command returns the tool's root command. openStore opens the platform's store at an address.
+func Command(openStore func(address string) kv.TransactionalStore) *cobra.Command {
 	o := &options{}
 	root := &cobra.Command{
 		Use:           "siskinctl",
@@ -77,6 +79,6 @@
 	flags.StringVar(&o.caFile, "ca", "", "certificate authority of the entries; without it the connection is not encrypted")
 	flags.StringVar(&o.deployment, "deployment", "", "deployment; empty: the one that the entry serves")
 	flags.BoolVar(&o.json, "json", false, "print JSON instead of tables")
-	root.AddCommand(o.check(), o.plan(), o.apply(), o.status(), o.audit(), o.drain(), o.watch(), o.quarantine())
+	root.AddCommand(o.check(), o.plan(), o.apply(), o.status(), o.audit(), o.drain(), o.watch(), o.quarantine(), o.platform(openStore))
 	return root
 }
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -91,7 +91,7 @@
 
 	run := func(args ...string) (string, int) {
 		var out bytes.Buffer
-		root := ctl.Command()
+		root := ctl.Command(nil)
 		root.SetOut(&out)
 		root.SetErr(&out)
 		root.SetArgs(append(args, "--entry", address, "--key-file", keyFile))
