--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -8,6 +8,7 @@
 
 	"siskinloom.example/siskinloom/internal/events"
 	"siskinloom.example/siskinloom/internal/policy/config"
+	"siskinloom.example/siskinloom/internal/policy/poison"
 	"siskinloom.example/siskinloom/internal/wire"
 )
 
@@ -233,6 +234,6 @@
 	}
 	crash := a.crashes.recordCrash(time.Now(), startedAt, req, a.crashes.distinctRunning())
 	answer.Batch, answer.Crash = crash.Batch, crash.Crash
-	events.EndpointCrashed.Log(a.log, logrus.Fields{"request": req.ID, "batch": answer.Batch, "detail": answer.Detail})
+	events.EndpointCrashed.Log(a.log, logrus.Fields{"request": req.ID, "fingerprint": poison.FormatFingerprint(req.Fingerprint), "suspect": req.Suspect, "batch": answer.Batch, "detail": answer.Detail})
 	return answer
 }
--- a/internal/agentless/quarantine/quarantine.go
+++ b/internal/agentless/quarantine/quarantine.go
@@ -130,7 +130,8 @@
 
 // count adds a report to the registry and logs the start of a quarantine. mu must be held.
 func (q *Quarantine) count(r *Report) {
-	if !q.registry.RecordCrash(r.at(), r.suspicion()) {
+	q.registry.RecordCrash(r.at(), r.suspicion())
+	if len(q.registry.TakeQuarantined()) == 0 {
 		return
 	}
 	q.countBlocked()
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -95,11 +96,37 @@
 		}
 		sleep(ctx, suspectRetryDelay)
 		if ctx.Err() != nil {
+			q.logNotAdmitted(c)
 			return a, wire.Answer{Outcome: wire.NotRun, Reason: wire.ReasonDeadline, Detail: "another copy of this request runs, or where it may run is down"}, false
 		}
 	}
 }
 
+// logNotAdmitted logs what a copy has waited for until its deadline.
+func (q *PoisonQuarantine) logNotAdmitted(c RequestCopy) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	id := requestID(c)
+	endpoints, exclusive := q.registry.AllowedEndpoints(time.Now(), id)
+	events.CopyNotAdmitted.Log(q.log, logrus.Fields{
+		"service": c.Service, "fingerprint": poison.FormatFingerprint(c.Fingerprint), "rollout": c.Rollout, "allowed": endpoints, "exclusive": exclusive,
+		"doubts": doubtTexts(q.registry.Doubts(id)),
+	})
+}
+
+// doubtTexts returns a line for each crash at which a suspect ran.
+func doubtTexts(doubts []poison.Doubt) []string {
+	var texts []string
+	for _, d := range doubts {
+		text := fmt.Sprintf("%s batch %d others", d.Endpoint, d.Batch)
+		for _, other := range d.Others {
+			text += " " + poison.FormatFingerprint(other.Fingerprint)
+		}
+		texts = append(texts, text)
+	}
+	return texts
+}
+
 // admitResult is the result of one attempt to start a copy.
 type admitResult int
 
@@ -205,9 +232,13 @@
 func (q *PoisonQuarantine) EndCopy(c RequestCopy, endpoint string, answered bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if answered && q.registry.Doubts(requestID(c)) != nil {
+		events.SuspectCleared.Log(q.log, logrus.Fields{"service": c.Service, "fingerprint": poison.FormatFingerprint(c.Fingerprint), "endpoint": endpoint})
+	}
 	if placement, ok := q.registry.EndCopy(time.Now(), requestID(c), c.placementEndpoint(endpoint), answered); ok {
 		q.announcePlacement(placement)
 	}
+	q.logQuarantined()
 }
 
 // ReportCrash records a crash while the request ran. It returns once every
@@ -233,13 +264,15 @@
 	now := time.Now()
 	q.registry.Merge(now, entries)
 	for _, s := range suspicions {
-		if q.registry.RecordCrash(now, s) {
-			events.RequestQuarantined.Log(q.log, logrus.Fields{
-				"service":     s.Service,
-				"fingerprint": poison.FormatFingerprint(s.Fingerprint),
-				"endpoint":    s.Endpoint,
-			})
-		}
+		q.registry.RecordCrash(now, s)
+	}
+	q.logQuarantined()
+}
+
+// logQuarantined logs the requests that this entry has quarantined. q.mu must be held.
+func (q *PoisonQuarantine) logQuarantined() {
+	for _, id := range q.registry.TakeQuarantined() {
+		events.RequestQuarantined.Log(q.log, logrus.Fields{"service": id.Service, "fingerprint": poison.FormatFingerprint(id.Fingerprint), "endpoints": q.registry.Endpoints(id)})
 	}
 }
 
--- a/internal/events/claims.go
+++ b/internal/events/claims.go
@@ -11,4 +11,6 @@
 	ClaimsResumed    = define(1304, logrus.InfoLevel, "claims are written again")
 
 	RequestQuarantined = define(1310, logrus.WarnLevel, "request quarantined because it crashed endpoints")
+	SuspectCleared     = define(1311, logrus.InfoLevel, "request that ran at a crash was answered; it is no suspect any more")
+	CopyNotAdmitted    = define(1312, logrus.WarnLevel, "suspect could not run before its deadline")
 )
--- a/internal/policy/poison/placement.go
+++ b/internal/policy/poison/placement.go
@@ -138,6 +138,14 @@
 	}
 }
 
+// Endpoints returns the endpoints that crashed with a quarantined request, in order.
+func (r *Registry) Endpoints(id ID) []string {
+	if s := r.quarantinedSuspects[id]; s != nil {
+		return s.endpoints()
+	}
+	return nil
+}
+
 // endpoints returns the endpoints that crashed, in order.
 func (s *suspect) endpoints() []string {
 	crashed := map[string]int{}
--- a/internal/policy/poison/poison.go
+++ b/internal/policy/poison/poison.go
@@ -99,6 +99,8 @@
 	reserved            map[ID]bool                  // suspects that are about to start from this entry
 	placements          map[ID]*placement            // where copies of requests that were never answered run
 
+	justQuarantined []ID // since the last call of TakeQuarantined
+
 	cleared, clearedBefore map[ID]bool // answered in the current and in the last half of ClearedTTL
 	rotateAt               time.Time   // when cleared becomes clearedBefore
 }
@@ -324,6 +326,32 @@
 	return true
 }
 
+// Doubt is a crash at which a suspect ran, with the other suspects that may have caused it.
+type Doubt struct {
+	Endpoint string
+	Batch    int
+	Others   []ID
+}
+
+// Doubts returns the crashes of a suspect, for logs.
+func (r *Registry) Doubts(id ID) []Doubt {
+	s := r.suspects[id]
+	if s == nil {
+		return nil
+	}
+	doubts := make([]Doubt, 0, len(s.crashes))
+	for _, c := range s.crashes {
+		d := Doubt{Endpoint: c.Endpoint, Batch: c.Batch}
+		for _, other := range sortedIDs(r.suspects) {
+			if other != id && r.ranAt(r.suspects[other], c) {
+				d.Others = append(d.Others, other)
+			}
+		}
+		doubts = append(doubts, d)
+	}
+	return doubts
+}
+
 // BlockedUntil returns the end of the request's quarantine, or the zero time if it has none.
 func (r *Registry) BlockedUntil(now time.Time, id ID) time.Time {
 	if r.Verdict(now, id) != Blocked {
@@ -396,6 +424,7 @@
 	for _, c := range r.suspects[id].crashes {
 		endpoints[c.Endpoint] = true
 	}
+	r.justQuarantined = append(r.justQuarantined, id)
 	r.quarantinedSuspects[id] = r.suspects[id]
 	delete(r.suspects, id)
 	r.quarantine[id] = &wire.QuarantineEntry{
@@ -406,6 +435,14 @@
 	}
 }
 
+// TakeQuarantined returns the requests that this process has quarantined since the last call. An
+// answer to one request may quarantine another, whose crash it explains.
+func (r *Registry) TakeQuarantined() []ID {
+	taken := r.justQuarantined
+	r.justQuarantined = nil
+	return taken
+}
+
 // RecordAnswer clears a request that an endpoint answered.
 func (r *Registry) RecordAnswer(now time.Time, id ID) {
 	if s := r.suspects[id]; s != nil {
