--- a/internal/policy/poison/poison_test.go
+++ b/internal/policy/poison/poison_test.go
@@ -103,6 +103,19 @@
 		Expect(verdict(2)).To(Equal(poison.Unrestricted))
 	})
 
+	// A request that ran at the first crash is never sent again, as its caller gave up. The cause
+	// of that crash would stay unknown, and each copy of the poison request would wait for its
+	// two crashed endpoints until its deadline.
+	It("quarantines although another request that ran at the first crash is never sent again", func() {
+		r.RecordCrash(now, crash(1, "a", 2))
+		r.RecordCrash(now, crash(2, "a", 2))
+		r.RecordCrash(now, crash(2, "b", 1))
+		Expect(verdict(2)).To(Equal(poison.Alone))
+		now = now.Add(5 * time.Second)
+		Expect(verdict(2)).To(Equal(poison.Blocked))
+		Expect(verdict(1)).To(Equal(poison.Alone))
+	})
+
 	It("does not quarantine for a crash that a quarantined request explains", func() {
 		r.RecordCrash(now, crash(1, "a", 2))
 		r.RecordCrash(now, crash(1, "b", 1))
