--- a/internal/lab/quarantine/bounds.go
+++ b/internal/lab/quarantine/bounds.go
@@ -1,8 +1,6 @@
 package quarantine
 
 import (
-	"cmp"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -70,10 +68,3 @@
 // strayLife is the mean life of an endpoint on a day with ten times the ends of a rough one, on
 // which an endpoint ends about every two minutes.
 const strayLife = 12 * time.Second
-
-// sortTries orders tries by their content and by how far they are.
-func sortTries(tries []*try) {
-	slices.SortFunc(tries, func(a, b *try) int {
-		return cmp.Or(cmp.Compare(a.fingerprint, b.fingerprint), cmp.Compare(a.tried, b.tried), cmp.Compare(a.inFlight, b.inFlight), cmp.Compare(a.retries, b.retries))
-	})
-}
--- a/internal/lab/quarantine/model.go
+++ b/internal/lab/quarantine/model.go
@@ -67,6 +67,7 @@
 
 // try is one request of a caller at one entry.
 type try struct {
+	number      int
 	entry       *entry
 	fingerprint uint64
 	retries     int // that its caller has left
@@ -89,6 +90,7 @@
 	third        time.Time // when the third one did
 	lateRuns     int       // runs of the poison request later than contactTime after that
 	nextInnocent uint64
+	tries        int
 }
 
 func newModel(s scenario, seed uint64) *model {
@@ -143,7 +145,8 @@
 
 // send sends a caller's request to a random entry.
 func (m *model) send(fingerprint uint64, retries int) {
-	t := &try{entry: m.processes[m.random.IntN(len(m.processes))], fingerprint: fingerprint, retries: retries}
+	m.tries++
+	t := &try{number: m.tries, entry: m.processes[m.random.IntN(len(m.processes))], fingerprint: fingerprint, retries: retries}
 	if !m.admits(t) {
 		m.refuse(t)
 		return
--- a/internal/lab/quarantine/reports.go
+++ b/internal/lab/quarantine/reports.go
@@ -1,6 +1,8 @@
 package quarantine
 
 import (
+	"cmp"
+	"slices"
 	"strconv"
 	"time"
 
@@ -35,7 +37,7 @@
 	e.up = false
 	lost := e.attempts
 	e.attempts = map[*attempt]bool{}
-	for _, t := range m.inOrder(lost) {
+	for _, t := range inOrder(lost) {
 		t.inFlight--
 		m.report(t.entry, wire.Suspicion{Fingerprint: t.fingerprint, Endpoint: strconv.Itoa(e.id), Crash: e.run, UnixMilli: m.t.Now().UnixMilli()})
 		m.start(t)
@@ -47,19 +49,14 @@
 	})
 }
 
-// inOrder returns the tries of attempts, ordered so that a seed always plays the same schedule.
-func (m *model) inOrder(attempts map[*attempt]bool) []*try {
-	var tries []*try
-	for _, p := range m.processes {
-		var own []*try
-		for a := range attempts {
-			if a.try.entry == p {
-				own = append(own, a.try)
-			}
-		}
-		sortTries(own)
-		tries = append(tries, own...)
+// inOrder returns the tries of attempts in the order of their start, so that a seed always plays
+// the same schedule.
+func inOrder(attempts map[*attempt]bool) []*try {
+	tries := make([]*try, 0, len(attempts))
+	for a := range attempts {
+		tries = append(tries, a.try)
 	}
+	slices.SortFunc(tries, func(a, b *try) int { return cmp.Compare(a.number, b.number) })
 	return tries
 }
 
