--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -365,6 +365,6 @@
 	*reply = q.newExchange(id)
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	reply.Busy = id != poison.ID{} && q.registry.Busy(id, request.From)
+	reply.Busy = id != poison.ID{} && q.registry.Busy(time.Now(), id, request.From)
 	return nil
 }
--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -162,6 +162,25 @@
 		Expect(alone).To(BeFalse())
 	})
 
+	// A sample that ran at the first crash is cancelled and never sent again. Copies of the poison
+	// request would wait for its two crashed endpoints until their deadline.
+	It("refuses a poison request through every entry soon after another suspect is no longer sent", func() {
+		other := crashAt("agent-1", 2)
+		other.Fingerprint = 8
+		quarantines["entry-1"].ReportCrash(other)
+		quarantines["entry-1"].ReportCrash(crashAt("agent-1", 2))
+		quarantines["entry-2"].ReportCrash(crashAt("agent-2", 1))
+		c := copyAt("agent-9")
+		c.Usable = func(string) bool { return false }
+		for name := range quarantines {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+			_, refusal, admitted := quarantines[name].StartCopy(ctx, c)
+			cancel()
+			Expect(admitted).To(BeFalse())
+			Expect(refusal.Reason).To(Equal(wire.ReasonQuarantined))
+		}
+	})
+
 	It("releases a request on every entry, and passes its quarantine on to a new entry", func() {
 		quarantines["entry-1"].ReportCrash(crashAt("agent-1", 1))
 		quarantines["entry-1"].ReportCrash(crashAt("agent-2", 1))
--- a/internal/lab/callers/poison_entry.go
+++ b/internal/lab/callers/poison_entry.go
@@ -100,7 +100,7 @@
 	suspicions, quarantine := e.registry.Suspicions(), e.registry.List(w.clock.now)
 	w.clock.after(w.clock.between(500*time.Microsecond, 1500*time.Microsecond), func() {
 		peer.merge(suspicions, quarantine)
-		if peer.registry.Busy(id, e.name) {
+		if peer.registry.Busy(w.clock.now, id, e.name) {
 			*busy = true
 		}
 		suspicions, quarantine := peer.registry.Suspicions(), peer.registry.List(w.clock.now)
--- a/internal/policy/poison/poison.go
+++ b/internal/policy/poison/poison.go
@@ -46,6 +46,7 @@
 	SuspicionTTL         time.Duration // how long a suspicion lasts without a new crash
 	QuarantineTTL        time.Duration // how long a quarantine lasts
 	ClearedTTL           time.Duration // how long an answer clears a request; it does so for at least half of this
+	QuietTime            time.Duration // after this time without a copy, a suspect no longer casts doubt on others
 	SameCrashWindow      time.Duration // reports about one endpoint within this time are one crash
 	MaxCleared           int           // maximum number of cleared requests remembered, per half of ClearedTTL
 	PlacementTTL         time.Duration // how long a copy at a peer restricts other copies without an update
@@ -62,6 +63,7 @@
 		SuspicionTTL:         10 * time.Minute,
 		QuarantineTTL:        time.Hour,
 		ClearedTTL:           10 * time.Minute,
+		QuietTime:            3 * time.Second,
 		SameCrashWindow:      3 * time.Second,
 		MaxCleared:           50_000,
 		PlacementTTL:         30 * time.Second,
@@ -82,8 +84,15 @@
 
 // suspect is the evidence against a request.
 type suspect struct {
-	crashes []wire.Suspicion // one per endpoint and crash
-	last    time.Time        // when the newest crash was recorded
+	crashes  []wire.Suspicion // one per endpoint and crash
+	last     time.Time        // when the newest crash was recorded
+	wantedAt time.Time        // when a copy was last about to start, here or at a peer
+}
+
+// quiet reports whether no copy was about to start lately. The caller has given up, or waits for
+// longer than the one whose request crashes endpoints.
+func (s *suspect) quiet(now time.Time, d time.Duration) bool {
+	return now.Sub(s.last) >= d && now.Sub(s.wantedAt) >= d
 }
 
 // Registry is what one entry or agent knows about poison requests. It is not safe
@@ -127,10 +136,16 @@
 	if q := r.quarantine[id]; q != nil && !q.Released {
 		return Blocked
 	}
-	if r.suspects[id] != nil {
-		return Alone
+	s := r.suspects[id]
+	if s == nil {
+		return Unrestricted
+	}
+	s.wantedAt = now
+	if r.causedTwoCrashes(now, id) {
+		r.quarantineSuspect(now, id)
+		return Blocked
 	}
-	return Unrestricted
+	return Alone
 }
 
 // expire drops what is known about a request once its time is over.
@@ -212,7 +227,7 @@
 // other suspects.
 func (r *Registry) updateQuarantine(now time.Time) {
 	for _, id := range sortedIDs(r.suspects) {
-		if r.causedTwoCrashes(id) || r.exceedsUnattributed(id) {
+		if r.causedTwoCrashes(now, id) || r.exceedsUnattributed(id) {
 			r.quarantineSuspect(now, id)
 		}
 	}
@@ -252,14 +267,18 @@
 // refused for an hour. So a crash at which other requests ran counts only while none
 // of them is a suspect or is quarantined for it. Until then the request runs on the
 // endpoints that crashed with it, and either is answered or crashes one alone.
-func (r *Registry) causedTwoCrashes(id ID) bool {
+//
+// A suspect that nobody sends any more is neither cleared nor caught. If it counted for as long
+// as the suspicion lasts, the copies of a poison request would wait all that time for its crashed
+// endpoints.
+func (r *Registry) causedTwoCrashes(now time.Time, id ID) bool {
 	s := r.suspects[id]
 	for i, a := range s.crashes {
 		for _, b := range s.crashes[i+1:] {
 			if a.Batch == 0 || b.Batch == 0 {
 				continue
 			}
-			if r.onlyPossibleCause(id, a) && r.onlyPossibleCause(id, b) && (a.Batch <= 1 || b.Batch <= 1) {
+			if r.onlyPossibleCause(now, id, a) && r.onlyPossibleCause(now, id, b) && (a.Batch <= 1 || b.Batch <= 1) {
 				return true
 			}
 			if r.onlyCommon(id, a, b) {
@@ -360,20 +379,26 @@
 	return time.UnixMilli(r.quarantine[id].ExpiresUnix)
 }
 
-// onlyPossibleCause reports whether no other known request may have caused the crash.
-func (r *Registry) onlyPossibleCause(id ID, c wire.Suspicion) bool {
-	return c.Batch <= 1 || !r.othersAt(r.suspects, id, c) && !r.explained(c)
+// onlyPossibleCause reports whether no other known request that is still sent may have caused
+// the crash.
+func (r *Registry) onlyPossibleCause(now time.Time, id ID, c wire.Suspicion) bool {
+	return c.Batch <= 1 || !r.doubted(now, id, c) && !r.explained(c)
 }
 
-// explained reports whether a quarantined request ran at the crash.
-func (r *Registry) explained(c wire.Suspicion) bool {
-	return r.othersAt(r.quarantinedSuspects, ID{}, c)
+// doubted reports whether another suspect that is still sent ran at the crash.
+func (r *Registry) doubted(now time.Time, id ID, c wire.Suspicion) bool {
+	for other, s := range r.suspects {
+		if other != id && r.ranAt(s, c) && !(r.running[other] == 0 && s.quiet(now, r.config.QuietTime)) {
+			return true
+		}
+	}
+	return false
 }
 
-// othersAt reports whether a request of the group other than id ran at the crash.
-func (r *Registry) othersAt(group map[ID]*suspect, id ID, c wire.Suspicion) bool {
-	for other, s := range group {
-		if other != id && r.ranAt(s, c) {
+// explained reports whether a quarantined request ran at the crash.
+func (r *Registry) explained(c wire.Suspicion) bool {
+	for _, s := range r.quarantinedSuspects {
+		if r.ranAt(s, c) {
 			return true
 		}
 	}
--- a/internal/policy/poison/sync.go
+++ b/internal/policy/poison/sync.go
@@ -39,7 +39,10 @@
 // Busy reports whether the entry from, which is about to start the suspect, must not
 // do so yet. Of two entries with a reservation, the one with the greater instance ID
 // yields.
-func (r *Registry) Busy(id ID, from string) bool {
+func (r *Registry) Busy(now time.Time, id ID, from string) bool {
+	if s := r.suspects[id]; s != nil {
+		s.wantedAt = now
+	}
 	if r.running[id] > 0 {
 		return true
 	}
