--- a/internal/policy/poison/poison.go
+++ b/internal/policy/poison/poison.go
@@ -190,8 +190,11 @@
 		r.recordQuarantinedCrash(now, id, c)
 		return false
 	}
+	if c.Cleared {
+		r.clearCrash(now, id, c)
+	}
 	group := r.suspects
-	if (c.Cleared || r.isCleared(now, id)) && c.Batch > 1 {
+	if c.Cleared || r.isCleared(now, id) && c.Batch > 1 {
 		group = r.clearedSuspects
 	}
 	s := group[id]
@@ -208,6 +211,20 @@
 	return r.suspects[id] == nil && r.quarantine[id] != nil && !r.quarantine[id].Released
 }
 
+// clearCrash drops a crash of a suspect that a peer got answered after it. Other crashes of the
+// request still count, since the peer may not know them.
+func (r *Registry) clearCrash(now time.Time, id ID, c wire.Suspicion) {
+	s := r.suspects[id]
+	if s == nil {
+		return
+	}
+	s.crashes = slices.DeleteFunc(s.crashes, func(x wire.Suspicion) bool { return r.same(x, c) })
+	if len(s.crashes) == 0 {
+		delete(r.suspects, id)
+	}
+	r.updateQuarantine(now)
+}
+
 // recordQuarantinedCrash records another crash of a quarantined request, so that no other
 // request that ran at it is quarantined for it.
 func (r *Registry) recordQuarantinedCrash(now time.Time, id ID, c wire.Suspicion) {
--- a/internal/policy/poison/poison_test.go
+++ b/internal/policy/poison/poison_test.go
@@ -103,6 +103,32 @@
 		Expect(verdict(2)).To(Equal(poison.Unrestricted))
 	})
 
+	// An entry gets a suspect answered. The others would run it alone for ten minutes, and hold it
+	// against every other request of its crash.
+	It("clears a suspect that a peer got answered, but not of a newer crash", func() {
+		peer := poison.New(poison.DefaultConfig(), "entry-3")
+		for _, known := range []*poison.Registry{r, peer} {
+			known.RecordCrash(now, crash(1, "a", 2))
+			known.RecordCrash(now, crash(2, "a", 2))
+		}
+		peer.RecordAnswer(now, id(2))
+		now = now.Add(time.Second)
+		r.RecordCrash(now, crash(1, "b", 1))
+		Expect(verdict(2)).To(Equal(poison.Alone))
+		Expect(verdict(1)).To(Equal(poison.Alone))
+		for _, s := range peer.Suspicions() {
+			r.RecordCrash(now, s)
+		}
+		Expect(verdict(2)).To(Equal(poison.Unrestricted))
+		Expect(verdict(1)).To(Equal(poison.Blocked))
+
+		r.RecordCrash(now, crash(2, "c", 2))
+		for _, s := range peer.Suspicions() {
+			r.RecordCrash(now, s)
+		}
+		Expect(verdict(2)).To(Equal(poison.Alone))
+	})
+
 	// A request that ran at the first crash is never sent again, as its caller gave up. The cause
 	// of that crash would stay unknown, and each copy of the poison request would wait for its
 	// two crashed endpoints until its deadline.
