--- a/internal/agentless/batchrun/copies.go
+++ b/internal/agentless/batchrun/copies.go
@@ -158,7 +158,7 @@
 	}
 	full := !c.upToDate(p, to)
 	if full {
-		p.Parts = j.longTexts()
+		p.Parts = c.drainTexts(j)
 	}
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
@@ -227,17 +227,12 @@
 	c.forget(job)
 }
 
-// longTexts returns the texts that are long enough to be copied.
-func (j *ownedJob) longTexts() []batch.TextPart {
+// drainTexts takes a job's texts that are long enough to be copied. Later messages hold the
+// events that follow them.
+func (c *Copier) drainTexts(j *ownedJob) []batch.TextPart {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	var long []batch.TextPart
-	for _, part := range j.job.Texts().Parts() {
-		if len(part.Events) >= minCopiedEvents {
-			long = append(long, part)
-		}
-	}
-	return long
+	return c.buffer.DrainTexts(j.id, j.token, j.job.Texts(), minCopiedEvents)
 }
 
 // Copy stores another process's texts. It is called by net/rpc.
--- a/internal/agentless/batchrun/copies_test.go
+++ b/internal/agentless/batchrun/copies_test.go
@@ -128,6 +128,37 @@
 		Expect(texts).NotTo(BeEmpty(), "the standby is leaving but still has them")
 	})
 
+	// The owner sends complete texts and then what came since. If events that come while it
+	// gathers the texts were in both, the standby would refuse all later events of that text.
+	It("hold each event once when events come while complete texts are gathered", func() {
+		o := &batchrun.Owner{Name: "a", Log: discardLogger(), Registry: metrics.NewRegistry()}
+		o.Init()
+		received := textlog.New(GinkgoT().TempDir(), discardLogger(), metrics.NewRegistry())
+		var job *batchrun.OwnedJob
+		const step = 10
+		generated := int64(firstEvents)
+		generate := func() {
+			generated += step
+			batchrun.GenerateEvents(o, job, generated)
+		}
+		o.Copier.StandbyFor = func(string, string) (string, bool) {
+			generate() // between the drain of the buffer and the message
+			return "b", true
+		}
+		o.Copier.Send = func(_ context.Context, _ string, args batchrun.CopyArgs) (lacking bool, err error) {
+			parts, err := batchrun.UnpackParts(args.Raw)
+			Expect(err).NotTo(HaveOccurred())
+			return !received.Put(textlog.JobParts{Job: args.Job, Mark: args.Mark, Parts: parts}, args.Whole), nil
+		}
+		job = batchrun.AddOwnedJob(o, spec("j", 1))
+		for range 3 {
+			generate()
+			batchrun.CopyTexts(o)
+		}
+		_, events := batch.NewJob(spec("j", 1), nil).ResumeTexts(received.Load(context.Background(), "j"))
+		Expect(events).To(BeEquivalentTo(generated-step), "all but the events that came during the last call")
+	})
+
 	It("are sent again completely after a failed call", func() {
 		// The first call fails. The standby lacks its events when the next ones arrive, and
 		// those alone would be of no use.
--- a/internal/agentless/batchrun/export_test.go
+++ b/internal/agentless/batchrun/export_test.go
@@ -1,6 +1,9 @@
 package batchrun
 
 import (
+	"context"
+	"fmt"
+
 	"siskinloom.example/siskinloom/internal/kv"
 	"siskinloom.example/siskinloom/internal/policy/batch"
 )
@@ -76,3 +79,34 @@
 	}
 	return false
 }
+
+// OwnedJob is a job that a process runs.
+type OwnedJob = ownedJob
+
+// AddOwnedJob adds a job with one running item to a process that isn't running.
+func AddOwnedJob(o *Owner, spec *batch.Spec) *OwnedJob {
+	j := &ownedJob{id: spec.ID, token: 1, job: batch.NewJob(spec, nil)}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.jobs[j.id] = j
+	j.job.StartRun(0)
+	o.sinksOf(j).begin(j)
+	return j
+}
+
+// GenerateEvents adds events to the text of a job's first item, up to the given one.
+func GenerateEvents(o *Owner, j *OwnedJob, last int64) {
+	for id := j.job.EventCount(0) + 1; id <= last; id++ {
+		j.mu.Lock()
+		data := []byte(fmt.Sprint("e", id))
+		j.job.AddEvent(0, id, data, j.job.Spec.MinVersion)
+		o.sinksOf(j).event(j, j.job.Spec.Items[0].ID, id, data, j.job.Spec.MinVersion)
+		j.mu.Unlock()
+	}
+}
+
+// CopyTexts sends the new events of all jobs to their standbys.
+func CopyTexts(o *Owner) { o.Copier.copyAll(context.Background()) }
+
+// UnpackParts decodes the parts of texts of a message.
+func UnpackParts(raw []byte) ([]batch.TextPart, error) { return unpack[[]batch.TextPart](raw) }
--- a/internal/agentless/textlog/buffer.go
+++ b/internal/agentless/textlog/buffer.go
@@ -53,11 +53,31 @@
 	if old := b.jobs[job]; old != nil {
 		b.discardParts(old)
 	}
-	fresh := &openJob{token: token, newest: map[string]int{}}
-	b.jobs[job] = fresh
+	b.jobs[job] = &openJob{token: token, newest: map[string]int{}}
+	b.appendTexts(job, texts)
+}
+
+// appendTexts adds the texts that a job starts from. mu must be held.
+func (b *Buffer) appendTexts(job string, texts *batch.Texts) {
 	for _, part := range texts.Parts() {
-		b.append(job, fresh, part)
+		b.append(job, b.jobs[job], part)
+	}
+}
+
+// DrainTexts replaces a job's buffered parts by its texts so far, and drains these as Drain does.
+// The caller must hold the lock under which it adds the job's events: an event that came between
+// would be in the texts and in the buffer, and whoever gets both can't tell the second one from
+// an event of another run. DrainTexts returns nil unless the job is open under this token.
+func (b *Buffer) DrainTexts(job string, token int64, texts *batch.Texts, minEvents int) []batch.TextPart {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	open := b.jobs[job]
+	if open == nil || open.token != token {
+		return nil
 	}
+	b.discardParts(open)
+	b.appendTexts(job, texts)
+	return b.drainJob(open, minEvents)
 }
 
 // Event adds one event of an item's text.
