--- a/internal/standin/transactional_store.go
+++ b/internal/standin/transactional_store.go
@@ -20,7 +20,7 @@
 	oldest   int64 // watches from an earlier revision get ErrHistoryGone
 	records  map[string]kv.Record
 	history  []kv.Change
-	leases   map[kv.LeaseID]time.Time
+	leases   map[kv.LeaseID]*lease
 	changed  chan struct{}
 	nextID   kv.LeaseID
 
@@ -33,7 +33,7 @@
 
 // NewTransactionalStore returns an empty store.
 func NewTransactionalStore() *TransactionalStore {
-	return &TransactionalStore{revision: 1, records: map[string]kv.Record{}, leases: map[kv.LeaseID]time.Time{}, changed: make(chan struct{}), Calls: map[string]int{}}
+	return &TransactionalStore{revision: 1, records: map[string]kv.Record{}, leases: map[kv.LeaseID]*lease{}, changed: make(chan struct{}), Calls: map[string]int{}}
 }
 
 // SetDown makes the store refuse every call, or serve again.
@@ -91,8 +91,8 @@
 }
 
 func (s *TransactionalStore) expire() {
-	for id, until := range s.leases {
-		if time.Now().After(until) {
+	for id, l := range s.leases {
+		if time.Now().After(l.expires) {
 			s.endLease(id)
 		}
 	}
@@ -254,7 +254,7 @@
 		return 0, 0, err
 	}
 	s.nextID++
-	s.leases[s.nextID] = time.Now().Add(ttl)
+	s.leases[s.nextID] = &lease{ttl: ttl, expires: time.Now().Add(ttl)}
 	return s.nextID, ttl, nil
 }
 
@@ -265,10 +265,11 @@
 	if err := s.startCall("keep"); err != nil {
 		return err
 	}
-	if _, found := s.leases[id]; !found {
+	l, found := s.leases[id]
+	if !found {
 		return kv.ErrLeaseNotFound
 	}
-	s.leases[id] = time.Now().Add(time.Hour) // the store does not record the TTL; an hour outlasts any test
+	l.expires = time.Now().Add(l.ttl)
 	return nil
 }
 
