--- a/internal/agentless/node/topics.go
+++ b/internal/agentless/node/topics.go
@@ -148,13 +148,13 @@
 // requiredServices returns the services whose endpoints this process sends requests to, nil for
 // all, and whether the routes are known yet. Items of batch jobs are run by the jobs' owners,
 // so that an entry needn't follow the endpoints of rollout services, which are many and change
-// with every load of weights.
+// with every load of weights. An entry that accepted jobs before it knew a worker still owns them.
 func (n *Node) requiredServices() (services []string, known bool) {
 	table := n.directory.Table()
 	switch {
 	case table == nil:
 		return nil, false
-	case !n.ineligibleForJobs():
+	case !n.ineligibleForJobs(), len(n.owner.Jobs()) > 0:
 		return nil, true
 	}
 	services = []string{}
