--- a/internal/agentless/gate/stream.go
+++ b/internal/agentless/gate/stream.go
@@ -95,16 +95,15 @@
 	resumedAfter := s.lastEvent
 	outcome, a, endpointOutcome := s.exchange(ctx, pick)
 	pick.End(time.Now(), endpointOutcome, time.Since(start), 0)
-	continued := s.route.Resumable && s.lastEvent > resumedAfter
-	switch {
-	case outcome.End == Answered && a.complete:
-		s.gate.Quarantine.Answered(s.fingerprint)
-	case !continued: // the next endpoint resumes elsewhere in the text, so that this end says nothing of it
-		s.reportLoss(pick, a, endpointOutcome)
-	}
 	if outcome.End == Answered && a.complete {
+		s.gate.Quarantine.Answered(s.fingerprint)
 		return outcome, false
 	}
+	// If the stream went on here, the next endpoint resumes elsewhere in the text, and this
+	// endpoint's end says nothing about the request.
+	if !s.route.Resumable || s.lastEvent == resumedAfter {
+		s.reportLoss(pick, a, endpointOutcome)
+	}
 	s.logFailure(pick, a.err, a.notRun)
 	s.mayHaveRun = s.mayHaveRun || !a.notRun
 	if !a.notRun && !s.route.Repeatable() {
