--- a/internal/agentless/quarantine/quarantine_test.go
+++ b/internal/agentless/quarantine/quarantine_test.go
@@ -200,6 +200,16 @@
 		Eventually(reports, "5s").Should(Equal(3))
 	})
 
+	// In an outage every process of a large fleet may have ends to report.
+	It("calls a store that is down ever less often", func() {
+		store.SetDown(true)
+		p := startProcess(store, "p1", ended)
+		p.ConnectionLost(request(poisonous), endpoint("a"))
+		const allowed = 6 // at 0 s and after delays of 0.25 s or more that double
+		Consistently(func() int { return store.Count("commit") }, "3s", "100ms").Should(BeNumerically("<=", allowed))
+		Expect(store.Count("commit")).To(BeNumerically(">=", 2))
+	})
+
 	It("repeats a write whose answer was lost", func() {
 		store.LoseAnswers(1)
 		p := startProcess(store, "p1", ended)
--- a/internal/agentless/quarantine/reports.go
+++ b/internal/agentless/quarantine/reports.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"encoding/gob"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"strings"
@@ -32,6 +33,9 @@
 	// writeInterval is the least time between two writes of a process, so that the crash of many
 	// endpoints costs few calls.
 	writeInterval = 250 * time.Millisecond
+	// maxRetryDelay bounds the delay before a failed write is repeated. In an outage every process
+	// of a large fleet may have something to write.
+	maxRetryDelay = 5 * time.Second
 	// writeTimeout bounds one write.
 	writeTimeout = 2 * time.Second
 )
@@ -134,35 +138,44 @@
 
 // Run writes this process's reports and removals to the store until ctx ends.
 func (q *Quarantine) Run(ctx context.Context) error {
+	delay := writeInterval
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-q.wake:
 		}
-		if !q.write(ctx) {
+		wait := writeInterval
+		more, err := q.write(ctx)
+		if err != nil {
+			delay = min(2*delay, maxRetryDelay)
+			wait = delay/2 + rand.N(delay/2)
+		} else {
+			delay = writeInterval
+		}
+		if more {
 			q.notify()
 		}
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-time.After(writeInterval):
+		case <-time.After(wait):
 		}
 	}
 }
 
-// write makes one call with what is to be written, and reports whether nothing is left. A call
+// write makes one call with what is to be written, and reports whether something is left. A call
 // that failed may be repeated: the key of a report is used for nothing else.
-func (q *Quarantine) write(ctx context.Context) bool {
+func (q *Quarantine) write(ctx context.Context) (more bool, err error) {
 	puts, removals, more := q.batch(time.Now())
 	if len(puts)+len(removals) == 0 {
-		return true
+		return false, nil
 	}
 	limited, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	if _, err := q.store.Commit(limited, kv.Transaction{Puts: puts, Remove: removals}); err != nil {
 		events.CrashNotReported.Log(q.log, logrus.Fields{"reports": len(puts), "removals": len(removals), "error": err.Error()})
-		return false
+		return true, err
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -176,7 +189,7 @@
 			r.state = removed
 		}
 	}
-	return !more
+	return more, nil
 }
 
 // byKey returns the report with a key, or nil. mu must be held.
