--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -72,8 +72,11 @@
 	return q.verdict(poison.ID{Service: service, Fingerprint: fingerprint}) == poison.Blocked
 }
 
+// verdict returns how the request may run. Time alone may quarantine it. q.mu must be held.
 func (q *PoisonQuarantine) verdict(id poison.ID) poison.Verdict {
-	return q.registry.Verdict(time.Now(), id)
+	verdict := q.registry.Verdict(time.Now(), id)
+	q.logQuarantined()
+	return verdict
 }
 
 // StartCopy admits one copy of the request to an endpoint. If admitted is true,
--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -181,6 +182,20 @@
 		}
 	})
 
+	// The quarantine follows from the time that has passed, without a message from a peer.
+	It("logs a quarantine of an entry that has no peers", func() {
+		alone := newQuarantines("entry-1")["entry-1"]
+		log := &bytes.Buffer{}
+		alone.log.SetOutput(log)
+		other := crashAt("agent-1", 2)
+		other.Fingerprint = 8
+		for _, crash := range []wire.Suspicion{other, crashAt("agent-1", 2), crashAt("agent-2", 1)} {
+			alone.ReportCrash(crash)
+		}
+		Eventually(func() bool { return alone.Blocked("tone", 7) }, "30s").Should(BeTrue())
+		Expect(log.String()).To(ContainSubstring("event=1310"))
+	})
+
 	It("releases a request on every entry, and passes its quarantine on to a new entry", func() {
 		quarantines["entry-1"].ReportCrash(crashAt("agent-1", 1))
 		quarantines["entry-1"].ReportCrash(crashAt("agent-2", 1))
