--- a/internal/agentless/node/topics_test.go
+++ b/internal/agentless/node/topics_test.go
@@ -56,10 +56,13 @@
 	It("needs all endpoints while it owns a job", func() {
 		ctx, stop := context.WithCancel(context.Background())
 		DeferCleanup(stop)
-		go func() { _ = n.owner.Run(ctx) }()
 		list(cluster.Member{Name: "entry"})
 		spec := &batch.Spec{ID: "j", Host: "h", Model: "m", Submitted: time.Now(), Items: []batch.Item{{ID: "i", Path: "/draft/x"}}}
 		Expect(n.frontend.Submit(ctx, spec)).To(Succeed())
+		// An owner that runs only now reads from the store that it owns the job.
+		assignments := &cluster.Follower{Store: n.store, Topic: n.owner.Assignments()}
+		go func() { _ = assignments.Run(ctx) }()
+		go func() { _ = n.owner.Run(ctx) }()
 		Eventually(func() map[string]int64 { return n.owner.Jobs() }, "5s").Should(HaveLen(1))
 		list(cluster.Member{Name: "worker", Worker: true})
 		services, known := n.requiredServices()
