--- a/internal/policy/endpoints/endpoints.go
+++ b/internal/policy/endpoints/endpoints.go
@@ -10,6 +10,7 @@
 
 	"siskinloom.example/siskinloom/internal/deployment"
 	"siskinloom.example/siskinloom/internal/policy/rendezvous"
+	"siskinloom.example/siskinloom/internal/policy/speed"
 )
 
 const (
@@ -65,8 +66,10 @@
 	critical         int           // number of critical requests
 	others           ProcessLoad   // load by other processes
 	pace             float64       // moving average of seconds per unit of work without the initial wait; 0: unknown
-	pendingLoad      *weightLoad   // weights being loaded; nil: none known
-	preference       uint64        // rendezvous weight for this process; breaks ties between scores, the highest wins
+	speed            *speed.Endpoint
+	probedAt         time.Time   // when it last got a request to learn its speed
+	pendingLoad      *weightLoad // weights being loaded; nil: none known
+	preference       uint64      // rendezvous weight for this process; breaks ties between scores, the highest wins
 	set              *Set
 }
 
@@ -107,6 +110,8 @@
 	newCosts   int     // costs observed since it was computed
 	pace       float64 // cached median of the paces
 	newPaces   int     // paces observed since it was computed
+
+	speeds *speed.Model
 }
 
 // Options switches off parts of the selection. The zero value is the normal behaviour.
@@ -114,13 +119,14 @@
 	DisableEjection  bool // failing endpoints are not ejected
 	SharedPreference bool // all processes prefer the same endpoint among equal ones
 	IgnoreDomain     bool // endpoints in other failure domains are as good as those in the own one
+	IgnoreSpeeds     bool // speeds are neither learned nor used
 }
 
 // NewSet returns an empty Set for the process named self. Each process has its own
 // order of preference among equal endpoints. With the order of their IDs, all idle
 // processes of a failure domain would choose the same endpoint.
 func NewSet(self string) *Set {
-	return &Set{self: rendezvous.Key(self), byID: map[string]*State{}}
+	return &Set{self: rendezvous.Key(self), byID: map[string]*State{}, speeds: speed.NewModel()}
 }
 
 // Put adds or updates an endpoint as the platform lists it.
@@ -130,15 +136,17 @@
 		return
 	}
 	s.Remove(e.ID)
-	s.byID[e.ID] = &State{Endpoint: e, preference: rendezvous.Weight(s.self, rendezvous.Key(e.ID)), set: s}
+	s.byID[e.ID] = &State{Endpoint: e, preference: rendezvous.Weight(s.self, rendezvous.Key(e.ID)), set: s, speed: s.trackSpeed(&e)}
 	s.sort()
 }
 
 // Remove removes an endpoint that is no longer listed.
 func (s *Set) Remove(id string) {
-	if s.byID[id] == nil {
+	e := s.byID[id]
+	if e == nil {
 		return
 	}
+	s.speeds.Forget(e.speedKey())
 	delete(s.byID, id)
 	s.sort()
 }
@@ -179,6 +187,10 @@
 // is required: the fault may be on this side of the connection.
 func (s *Set) Pick(r Request) *State {
 	s.dropStaleReports(r.Now)
+	if probe := s.probe(&r); probe != nil {
+		probe.begin(&r)
+		return probe
+	}
 	best, fallback := (*State)(nil), (*State)(nil)
 	lowest := 0.0
 	cost, pace := s.typicalCost(), 0.0
@@ -205,14 +217,19 @@
 	if best == nil {
 		return nil
 	}
-	if best.failures > 0 {
-		best.probing = true
-	}
-	best.InFlight++
-	best.addPlacement(&r.Placement)
+	best.begin(&r)
 	return best
 }
 
+// begin counts a request that was sent to the endpoint.
+func (e *State) begin(r *Request) {
+	if e.failures > 0 {
+		e.probing = true
+	}
+	e.InFlight++
+	e.addPlacement(&r.Placement)
+}
+
 // eligible reports whether the endpoint may serve the request, regardless of earlier
 // failures and refusals.
 func (e *State) eligible(r *Request) bool {
@@ -314,6 +331,7 @@
 	case Answered:
 		e.failures, e.ejection, e.fullBackoff = 0, 0, 0
 		e.observeCost(took, work)
+		e.observeRequest(now, took, work)
 	case Refused:
 		if !now.Before(e.unavailableUntil) {
 			e.fullBackoff = min(max(2*e.fullBackoff, baseFullBackoff), maxFullBackoff)
