speed: exchange of speeds, specs, events, metrics and the switch learn-speeds

An owner that takes a job over knew nothing of the engines. Idle engines are probed with runs that nothing waits for, only where speeds are uneven or the engine was slowed. Ruled out: the mean of a run (a load of weights pauses the batch for a second; the longest gap of a segment is left out instead).

--- a/internal/agentless/batchrun/itemrun.go
+++ b/internal/agentless/batchrun/itemrun.go
@@ -41,6 +41,7 @@
 	began     time.Time
 	generated int // number of events
 	pace      pace
+	speed     speedMeter
 }
 
 // engineRequest returns the requirements of an item on its engine.
@@ -94,7 +95,9 @@
 		return false
 	}
 	r.generated++
-	r.pace.observe(time.Now())
+	now := time.Now()
+	r.pace.observe(now)
+	r.speed.observeSpeed(now, r.pick)
 	r.job.mu.Lock()
 	defer r.job.mu.Unlock()
 	if !r.job.job.AddEvent(r.start.Index, event.ID, event.Data, event.Version) {
--- a/internal/agentless/batchrun/loads.go
+++ b/internal/agentless/batchrun/loads.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,6 +38,9 @@
 	Service string
 	Load    schedule.Load
 	Shares  map[string]endpoints.ProcessLoad // by endpoint ID
+	// Speeds holds speeds that the sender measured, encoded by speed.EncodeReports. An older
+	// process ignores the field.
+	Speeds []byte
 }
 
 // reportedLoads holds the loads that other owners sent. It is safe for concurrent use.
@@ -81,6 +85,7 @@
 	if s.owner.Switches.On(mechanism.ShareLoad) {
 		s.owner.Directory.SetReport(now, args.Service, args.From, args.Shares)
 	}
+	s.owner.mergeSpeeds(now, &args)
 	return nil
 }
 
@@ -123,11 +128,14 @@
 		args := LoadArgs{From: o.Name, Service: name, Load: load, Shares: shares}
 		others := o.OtherOwners(service.Models)
 		size := loadMessageBytes + endpointLoadBytes*len(shares)
+		speeds := o.speedMessages(time.Now(), name, others, size)
 		if len(others)*size > maxRoundBytes {
-			continue
+			others = nil
 		}
-		for _, other := range others {
-			bytes += size
+		bytes += len(others) * size
+		for _, other := range receivers(others, speeds) {
+			args := args
+			args.Speeds = speeds[other]
 			group.Go(func() error {
 				ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 				defer cancel()
@@ -139,3 +147,15 @@
 	_ = group.Wait()
 	return bytes
 }
+
+// receivers returns the processes that get a message: the other owners, and those that get
+// speeds only, as standbys.
+func receivers(others []string, speeds map[string][]byte) []string {
+	to := slices.Clone(others)
+	for name := range speeds {
+		if !slices.Contains(others, name) {
+			to = append(to, name)
+		}
+	}
+	return to
+}
--- a/internal/agentless/batchrun/owner.go
+++ b/internal/agentless/batchrun/owner.go
@@ -82,6 +82,7 @@
 	former         *formerJobs
 	lengths        map[string]*sharedLengths // by model
 	loads          reportedLoads
+	speeds         speedExchange
 	wake           chan struct{}
 	storeRecovered chan struct{} // closed and replaced when the store answers again
 	runs           errgroup.Group
@@ -95,6 +96,8 @@
 }
 
 type stats struct {
+	speedStats
+
 	listed        metrics.Counter // items whose result became durable
 	aborted       metrics.Counter // those of them that were aborted
 	broken        metrics.Counter // runs that were interrupted
@@ -138,6 +141,7 @@
 		o.RetryDelay = writeRetryDelay
 	}
 	o.stats = stats{
+		speedStats:    newSpeedStats(o.Registry),
 		listed:        metrics.GetOrRegisterCounter("batch.items.listed", o.Registry),
 		aborted:       metrics.GetOrRegisterCounter("batch.items.aborted", o.Registry),
 		moved:         metrics.GetOrRegisterCounter("batch.runs.moved", o.Registry),
@@ -163,6 +167,7 @@
 	group.Go(func() error { return o.Texts.Run(ctx) })
 	group.Go(func() error { return o.Copier.run(ctx) })
 	group.Go(func() error { return o.sendLoads(ctx) })
+	group.Go(func() error { return o.watchSpeeds(ctx) })
 	group.Go(func() error { return o.Standby.run(ctx) })
 	return group.Wait()
 }
--- a/internal/agentless/mechanism/mechanism.go
+++ b/internal/agentless/mechanism/mechanism.go
@@ -42,6 +42,8 @@
 	KeepNarrow Mechanism = "keep-narrow"
 	// ShareLoad has the owners of jobs exchange how much load they put on each engine.
 	ShareLoad Mechanism = "share-load"
+	// LearnSpeeds learns how fast each endpoint is, and has the owners of jobs exchange it.
+	LearnSpeeds Mechanism = "learn-speeds"
 	// LearnLengths corrects the estimates of text lengths by the lengths of finished texts.
 	LearnLengths Mechanism = "learn-lengths"
 	// WholeSteps writes results once their step is complete.
@@ -71,7 +73,7 @@
 func All() []Mechanism {
 	all := []Mechanism{
 		Hedges, SetAside, OwnPreference, NearFirst, MoveSlow, MoveCrowded, LongestFirst, SpareLast, ByDelay, KeepNarrow, ShareLoad,
-		LearnLengths, WholeSteps, TextJournal, TextCopies, CacheResults, ReadNear, AlternateLoads, TellLoads, TakeOver, StandbyRuns, Relay,
+		LearnSpeeds, LearnLengths, WholeSteps, TextJournal, TextCopies, CacheResults, ReadNear, AlternateLoads, TellLoads, TakeOver, StandbyRuns, Relay,
 	}
 	sort.Slice(all, func(i, j int) bool { return all[i] < all[j] })
 	return all
--- a/internal/events/fleet.go
+++ b/internal/events/fleet.go
@@ -95,3 +95,10 @@
 	UsageNotSent     = define(2404, logrus.WarnLevel, "usage counts could not be sent to a process")
 	UsageUnreadable  = define(2405, logrus.ErrorLevel, "stored usage report cannot be read")
 )
+
+// Events of the speeds of endpoints: 2500 to 2509.
+var (
+	SpeedNotUsed = define(2500, logrus.WarnLevel, "speed reported by another process is not used")
+	SpeedChanged = define(2501, logrus.InfoLevel, "speed of an endpoint changed")
+	SpeedsUneven = define(2502, logrus.InfoLevel, "speeds of a service's endpoints became uneven or even")
+)
--- a/internal/policy/endpoints/speeds.go
+++ b/internal/policy/endpoints/speeds.go
@@ -51,7 +51,7 @@
 // beside others concurrent requests, or 0 if no speed is known.
 func (s *Set) UnitSeconds(e *State, others float64) float64 {
 	if !s.Options.IgnoreSpeeds {
-		if seconds := e.speed.Estimate().Seconds; seconds > 0 {
+		if seconds := e.speed.Seconds(); seconds > 0 {
 			return seconds * (1 + s.speeds.Slope()*others)
 		}
 	}
@@ -90,10 +90,10 @@
 	if s.Options.IgnoreSpeeds || r.RemainingWork < minProbeWork || r.Critical || r.Weight > minWeight || !s.speeds.Observed() {
 		return nil
 	}
-	uneven, median := s.speeds.Uneven(), s.speeds.Median()
+	uneven := s.speeds.Uneven()
 	var best *State
 	for _, e := range s.list {
-		if e.running() > 0 || !e.speed.Unused(r.Now) || r.Now.Sub(e.probedAt) < probeInterval || !uneven && e.speed.Estimate().Seconds <= minSlowdown*median {
+		if e.running() > 0 || !e.speed.Unused(r.Now) || r.Now.Sub(e.probedAt) < probeInterval || !uneven && !e.speed.Slowed() {
 			continue
 		}
 		if (best == nil || e.probedAt.Before(best.probedAt)) && e.available(r.Now) && e.eligible(r) {
--- a/internal/policy/speed/endpoint.go
+++ b/internal/policy/speed/endpoint.go
@@ -112,9 +112,14 @@
 	window       window
 }
 
-// Endpoint is what is known of the speed of an endpoint.
+// Endpoint is what is known of the speed of an endpoint. The fields that each choice reads come
+// first, so that they share a cache line.
 type Endpoint struct {
-	model   *Model
+	model    *Model
+	seconds  float64 // estimate in use; 0: none
+	reported bool    // it is that of the report
+	trusted  bool    // it is free of noise
+
 	key     Key
 	tracked bool // added by Track, not only known from reports
 
@@ -126,8 +131,6 @@
 	report  Report    // newest report of another process; Units 0: none or too old
 	heard   time.Time // when the newest report was measured
 
-	seconds     float64 // estimate in use; 0: none
-	reported    bool    // it is that of the report
 	lasting     float64 // speed without temporary slowness; 0: unknown
 	slowerSince time.Time
 
@@ -170,21 +173,22 @@
 	return true
 }
 
-// change replaces the window by the pending observations. A faster speed after one or two
-// samples is no change: these samples were noisy. If the endpoint is as fast as
+// change replaces the window by the pending observations. A faster speed after a few samples
+// is a correction rather than a change: these samples were noisy. If the endpoint is as fast as
 // before the last change, that window is used again: an interruption of some intervals, such
 // as the load of weights, does not cost what was learned.
 func (e *Endpoint) change() {
 	slope := e.model.estimationSlope
 	before := e.own
 	next := e.pending.window
-	next.changed = e.pending.slower || e.window.trusted()
+	isChange := e.pending.slower || e.window.changed || e.window.count == maxSamples
+	next.changed = isChange
 	after, earlier := next.estimate(slope), e.former.estimate(slope)
 	if earlier > 0 && after < restoreFactor*earlier && earlier < restoreFactor*after {
 		next = e.former
 	}
 	e.former, e.window, e.pending, e.load = e.window, next, pending{}, loadMeans{}
-	if next.trusted() {
+	if isChange {
 		e.model.addChange(Change{Key: e.key, Before: before, After: after})
 	}
 }
@@ -192,9 +196,9 @@
 // update computes the estimates again.
 func (e *Endpoint) update(now time.Time) {
 	e.own = e.window.estimate(e.model.estimationSlope)
-	e.seconds, e.reported = e.own, e.usesReport(now)
+	e.seconds, e.reported, e.trusted = e.own, e.usesReport(now), e.window.trusted()
 	if e.reported {
-		e.seconds = e.report.Seconds
+		e.seconds, e.trusted = e.report.Seconds, true
 	}
 	if e.window.count >= minSamples {
 		e.updateLasting()
@@ -225,25 +229,37 @@
 	}
 }
 
-// Estimate returns what is known of the endpoint's speed. Until there are three samples, an
-// endpoint that seems slower than the median by no more than noise counts as typical, so that
-// it goes on getting requests and is learned.
-func (e *Endpoint) Estimate() Estimate {
+// Seconds returns the expected seconds per unit of a request alone at the endpoint, 0 if no
+// speed is known. Until there are three samples, an endpoint that seems slower than the median
+// by no more than noise counts as typical, so that it goes on getting requests and is learned.
+func (e *Endpoint) Seconds() float64 {
 	median := e.model.Median()
+	if e.seconds == 0 || !e.trusted && e.seconds > median && e.seconds < slowerFactor*median {
+		return median
+	}
+	return e.seconds
+}
+
+// Estimate returns what is known of the endpoint's speed.
+func (e *Endpoint) Estimate() Estimate {
+	estimate := Estimate{Seconds: e.Seconds(), Units: e.window.units, At: e.last}
 	switch {
 	case e.seconds == 0:
-		return Estimate{Seconds: median}
+		estimate.Units, estimate.At = 0, time.Time{}
 	case e.reported:
-		return Estimate{Seconds: e.seconds, Units: e.report.Units, At: e.heard}
-	case !e.window.trusted() && e.own > median && e.own < slowerFactor*median:
-		return Estimate{Seconds: median, Units: e.window.units, At: e.last}
+		estimate.Units, estimate.At = e.report.Units, e.heard
 	}
-	return Estimate{Seconds: e.own, Units: e.window.units, At: e.last}
+	return estimate
 }
 
 // Lasting returns the seconds per unit without temporary slowness, 0 if they are not known.
 func (e *Endpoint) Lasting() float64 { return e.lasting }
 
+// Slowed reports whether the endpoint is slower than the median since a detected change.
+func (e *Endpoint) Slowed() bool {
+	return e.window.changed && e.own > unevenFactor*e.model.Median()
+}
+
 // Unused reports whether the speed has not been observed within the last 10 s, neither by
 // this process nor by one that reported it.
 func (e *Endpoint) Unused(now time.Time) bool {
