speeds: leave out segments with a pause; specs of the exchange

Cause: without its longest gap, a segment whose events arrive in bursts of four gives .57 of the true time (computed, not run). Change: a segment with a gap above half a second and four times the others is not measured; all others count whole.

--- a/internal/agentless/batchrun/export_test.go
+++ b/internal/agentless/batchrun/export_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"siskinloom.example/siskinloom/internal/kv"
 	"siskinloom.example/siskinloom/internal/policy/batch"
@@ -110,3 +111,24 @@
 
 // UnpackParts decodes the parts of texts of a message.
 func UnpackParts(raw []byte) ([]batch.TextPart, error) { return unpack[[]batch.TextPart](raw) }
+
+// SpeedMeter measures the speed of an engine during a run.
+type SpeedMeter = speedMeter
+
+// ObserveEvent records an event of a run.
+func ObserveEvent(m *SpeedMeter, now time.Time, others func() int) (seconds, meanOthers float64, measured bool) {
+	return m.observe(now, others)
+}
+
+// SpeedMessages returns the encoded speeds that an owner sends now, by receiver.
+func SpeedMessages(o *Owner, now time.Time, service string, others []string, otherBytes int) map[string][]byte {
+	return o.speedMessages(now, service, others, otherBytes)
+}
+
+// ReceiveLoad has an owner receive a load message.
+func ReceiveLoad(o *Owner, args LoadArgs) error {
+	return (&Service{owner: o}).Load(args, &struct{}{})
+}
+
+// CheckSpeeds logs and counts changes of speeds.
+func CheckSpeeds(o *Owner, now time.Time) { o.checkSpeeds(now) }
--- a/internal/agentless/batchrun/speeds.go
+++ b/internal/agentless/batchrun/speeds.go
@@ -20,6 +20,11 @@
 	// segmentEvents is the number of events of a run that are measured together. A change of
 	// an engine's speed shows in a whole segment after at most 16 events.
 	segmentEvents = 8
+	// minPauseSeconds and pauseFactor tell a pause from a slow engine: a gap longer than both
+	// half a second and four times the other gaps. A batch pauses for one to two seconds to
+	// load weights. Leaving out the longest gap of each segment would make an engine whose
+	// events arrive in bursts seem faster than it is.
+	minPauseSeconds, pauseFactor = 0.5, 4
 	// maxSpeedRate limits the bytes per second of the speeds that a process sends to others.
 	// It comes on top of maxLoadRate: speeds must not make loads be sent less often.
 	maxSpeedRate = 4_000
@@ -44,8 +49,8 @@
 	others       float64 // number of other requests when the segment began
 }
 
-// observe records an event. At the end of a segment it returns the seconds per event without
-// the longest gap, which may be a pause of the whole batch, as for the load of weights.
+// observe records an event. At the end of a segment it returns the mean seconds per event. A
+// segment with a pause of the batch is not measured.
 func (s *speedMeter) observe(now time.Time, others func() int) (seconds, meanOthers float64, measured bool) {
 	if s.last.IsZero() {
 		s.last, s.others = now, float64(others())
@@ -59,11 +64,15 @@
 	if s.gaps < segmentEvents {
 		return 0, 0, false
 	}
-	seconds = (s.sum - s.longest) / (segmentEvents - 1)
-	atEnd := float64(others())
-	meanOthers = (s.others + atEnd) / 2
+	segment, atEnd := *s, float64(others())
 	*s = speedMeter{last: now, others: atEnd}
-	return seconds, meanOthers, true
+	return segment.sum / segmentEvents, (segment.others + atEnd) / 2, !segment.paused()
+}
+
+// paused reports whether the segment contains a pause of the whole batch.
+func (s *speedMeter) paused() bool {
+	rest := (s.sum - s.longest) / (segmentEvents - 1)
+	return s.longest > minPauseSeconds && s.longest > pauseFactor*rest
 }
 
 // observeSpeed records an event of a run at the picked engine.
