--- a/internal/agentless/batchrun/speeds.go
+++ b/internal/agentless/batchrun/speeds.go
@@ -263,25 +263,38 @@
 		return
 	}
 	count := int64(0)
-	for service := range table.Declaration.Services {
-		for _, change := range o.Directory.TakeSpeedChanges(service) {
-			o.stats.speedChanges.Inc(1)
-			if unwritten, ok := o.speeds.mayLog(now, ""); ok {
-				events.SpeedChanged.Log(o.Log, logrus.Fields{"service": service, "endpoint": change.Key.Endpoint, "before_ms": change.Before * 1e3, "after_ms": change.After * 1e3, "unwritten": unwritten})
-			}
+	for name, service := range table.Declaration.Services {
+		changes := o.Directory.TakeSpeedChanges(name)
+		o.stats.speedChanges.Inc(int64(len(changes)))
+		if len(service.Models) > 0 { // requests of different sizes at a plain service look like changes
+			o.logSpeedChanges(now, name, changes)
 		}
-		uneven := o.Directory.Uneven(service)
+		uneven := o.Directory.Uneven(name)
 		if uneven {
 			count++
 		}
-		if o.speeds.unevenChanged(service, uneven) {
-			speeds := o.Directory.Speeds(service)
-			events.SpeedsUneven.Log(o.Log, logrus.Fields{"service": service, "uneven": uneven, "median_ms": speeds.Median * 1e3, "slope": speeds.Slope})
+		if o.speeds.unevenChanged(name, uneven) {
+			o.logUneven(now, name, uneven)
 		}
 	}
 	o.stats.speedsUneven.Update(count)
 }
 
+func (o *Owner) logSpeedChanges(now time.Time, service string, changes []speed.Change) {
+	for _, c := range changes {
+		if unwritten, ok := o.speeds.mayLog(now, ""); ok {
+			events.SpeedChanged.Log(o.Log, logrus.Fields{"service": service, "endpoint": c.Key.Endpoint, "before_ms": c.Before * 1e3, "after_ms": c.After * 1e3, "unwritten": unwritten})
+		}
+	}
+}
+
+func (o *Owner) logUneven(now time.Time, service string, uneven bool) {
+	if unwritten, ok := o.speeds.mayLog(now, ""); ok {
+		speeds := o.Directory.Speeds(service)
+		events.SpeedsUneven.Log(o.Log, logrus.Fields{"service": service, "uneven": uneven, "median_ms": speeds.Median * 1e3, "slope": speeds.Slope, "unwritten": unwritten})
+	}
+}
+
 // unevenChanged records whether the speeds of a service are uneven and returns whether that
 // has changed.
 func (x *speedExchange) unevenChanged(service string, uneven bool) bool {
--- a/internal/policy/speed/reports.go
+++ b/internal/policy/speed/reports.go
@@ -149,7 +149,7 @@
 		return
 	}
 	e.report, e.heard = *r, measured
-	if e.lasting == 0 && r.Units >= lastingReportUnits {
+	if r.Units >= lastingReportUnits && (e.lasting == 0 || e.window.count < minSamples && r.Seconds < e.lasting) {
 		e.lasting = r.Seconds
 	}
 	e.update(now)
--- a/internal/policy/speed/slope.go
+++ b/internal/policy/speed/slope.go
@@ -2,7 +2,7 @@
 
 const (
 	// priorWeight is the weight of the default slope, as a sum of squared deviations of the
-	// number of other requests. With noise, about a thousand observations outweigh it.
+	// number of other requests: a hundred observations that differ by two from their mean.
 	priorWeight = 400.0
 	// slopeMemory is the number of observations after which an old one has lost most of its
 	// weight.
--- a/internal/policy/speed/speed.go
+++ b/internal/policy/speed/speed.go
@@ -90,6 +90,7 @@
 	computed        bool    // whether they were computed at all
 	median          float64 // of the endpoints' seconds
 	uneven          bool
+	currentSlope    float64
 	estimationSlope float64 // slope with which the estimates were computed
 	values          []float64
 }
@@ -110,6 +111,7 @@
 	if e == nil {
 		e = &Endpoint{model: m, key: k}
 		m.endpoints[k] = e
+		m.invalidate()
 	}
 	e.tracked = true
 	return e
@@ -153,7 +155,10 @@
 }
 
 // Slope returns the fraction by which one more concurrent request lengthens a unit.
-func (m *Model) Slope() float64 { return m.slope.value(m.DefaultSlope) }
+func (m *Model) Slope() float64 {
+	m.refresh()
+	return m.currentSlope
+}
 
 // Median returns the lower median of the known endpoints' seconds per unit, 0 if none is
 // known.
@@ -194,6 +199,7 @@
 		return
 	}
 	m.computed, m.stale = true, 0
+	m.currentSlope = m.slope.value(m.DefaultSlope)
 	m.applySlope()
 	m.values = m.values[:0]
 	for _, e := range m.endpoints {
@@ -215,7 +221,7 @@
 
 // applySlope computes the endpoints' estimates again if the slope has changed noticeably.
 func (m *Model) applySlope() {
-	slope := m.Slope()
+	slope := m.currentSlope
 	if math.Abs(slope-m.estimationSlope)*16 < slopeTolerance {
 		return
 	}
