Placement: engines and moves by completion time where speeds are uneven

Cause: where a quarter of the engines takes half the time per event, a fast engine counted as typical, so long texts ran at slow engines and their steps came late. Moves were decided by the pace of single requests, and most led from one slow engine to another.

One decision about moves (Set.PickFaster) replaces HasFaster and HasLessLoaded there: the step waits for the text (schedule.Load.WaitsFor), the gain exceeds the price of a move, and a second move needs a change. The target's slot is held, so that a moved text continues there. Mechanism place-by-time, event 2510, metric batch.runs.moved.by_time.

--- a/internal/agentless/batchrun/itemrun.go
+++ b/internal/agentless/batchrun/itemrun.go
@@ -30,6 +30,7 @@
 	errEngineTimeout = errors.New("batchrun: engine sent no event before the timeout")
 	errCrowded       = errors.New("batchrun: another engine has fewer requests")
 	errTooSlow       = errors.New("batchrun: another engine is faster")
+	errEndsSooner    = errors.New("batchrun: the text ends sooner at another engine")
 )
 
 // itemRun is one run of an item at one engine.
@@ -41,6 +42,8 @@
 	began     time.Time
 	generated int // number of events
 	pace      pace
+	promised  float64  // seconds per event that were expected when the text was moved here; 0: it was not moved by time
+	next      *nextRun // where the text continues after this run was cancelled to move it; nil: dispatch decides
 }
 
 // engineRequest returns the requirements of an item on its engine.
@@ -78,11 +81,8 @@
 		if !r.addEvent(event) {
 			return batch.RunVersionMismatch, endpoints.Cancelled, errors.Errorf("event %d of version %d does not continue the text", event.ID, event.Version)
 		}
-		if r.tooSlow() {
-			return batch.RunCancelledToMove, endpoints.Answered, errTooSlow
-		}
-		if r.crowded() {
-			return batch.RunCancelledToMove, endpoints.Answered, errCrowded
+		if reason := r.reasonToMove(); reason != nil {
+			return batch.RunCancelledToMove, endpoints.Answered, reason
 		}
 	}
 }
@@ -94,7 +94,11 @@
 		return false
 	}
 	r.generated++
-	r.pace.observe(time.Now())
+	now := time.Now()
+	if r.generated == 1 {
+		r.owner.moveTimes.observe(now.Sub(r.began))
+	}
+	r.pace.observe(now)
 	r.job.mu.Lock()
 	defer r.job.mu.Unlock()
 	if !r.job.job.AddEvent(r.start.Index, event.ID, event.Data, event.Version) {
@@ -145,38 +149,6 @@
 	return r.pick.HasFaster(engineRequest(r.job.job.Spec, r.start, time.Now()), r.pace.eventSeconds())
 }
 
-// pace measures the time between events, starting with the first one.
-type pace struct {
-	first, last time.Time
-	gaps        int
-	mean        float64 // running mean of the seconds between events
-}
-
-// paceWeight is the weight of a new interval in the running mean.
-const paceWeight = 0.2
-
-func (p *pace) observe(now time.Time) {
-	if p.first.IsZero() {
-		p.first, p.last = now, now
-		return
-	}
-	gap := now.Sub(p.last).Seconds()
-	p.last = now
-	p.gaps++
-	if p.gaps == 1 {
-		p.mean = gap
-		return
-	}
-	p.mean += (gap - p.mean) * paceWeight
-}
-
-// eventSeconds returns the running mean of the seconds per event.
-func (p *pace) eventSeconds() float64 { return p.mean }
-
-// measured returns the running mean, and whether there were enough events to show the engine's
-// speed.
-func (p *pace) measured() (float64, bool) { return p.mean, p.gaps >= minPaceEvents }
-
 // itemFingerprint returns the fingerprint of an item's content. It is the same in each job that
 // has the item.
 func itemFingerprint(spec *batch.Spec, i int) uint64 {
--- /dev/null
+++ b/internal/agentless/batchrun/moves_test.go
@@ -0,0 +1,168 @@
+package batchrun_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"siskinloom.example/siskinloom/internal/agentless/dispatch"
+	"siskinloom.example/siskinloom/internal/agentless/mechanism"
+	"siskinloom.example/siskinloom/internal/deployment"
+	"siskinloom.example/siskinloom/internal/policy/batch"
+	"siskinloom.example/siskinloom/internal/policy/endpoints"
+	"siskinloom.example/siskinloom/internal/standin"
+)
+
+const (
+	pacedLength         = 100 // events of each text of pacedEngines
+	slowEvent           = 20 * time.Millisecond
+	fastEvent           = 2 * time.Millisecond
+	eventsBeforeUpgrade = 20
+)
+
+// pacedEngines fakes engines of unequal speed.
+type pacedEngines struct {
+	mu      sync.Mutex
+	runs    []string        // engines in the order of the runs
+	resumed []int64         // events after which the runs continued
+	onEvent func(id int64)  // called before each event; may be nil
+	refuse  map[string]bool // engines that refuse runs as full
+}
+
+func (e *pacedEngines) Send(ctx context.Context, to *deployment.Endpoint, r *dispatch.Request) (*dispatch.Answer, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.runs, e.resumed = append(e.runs, to.ID), append(e.resumed, r.ResumeAfter)
+	if e.refuse[to.ID] {
+		return &dispatch.Answer{Status: http.StatusServiceUnavailable, NotRun: true, Body: http.NoBody}, nil
+	}
+	read, write := io.Pipe()
+	event := slowEvent
+	if isFast(to.ID) {
+		event = fastEvent
+	}
+	go e.generate(ctx, write, r.ResumeAfter, event)
+	return &dispatch.Answer{Status: http.StatusOK, Signed: true, Version: 5, Body: read}, nil
+}
+
+func (e *pacedEngines) generate(ctx context.Context, w *io.PipeWriter, after int64, event time.Duration) {
+	for id := after + 1; id <= pacedLength; id++ {
+		select {
+		case <-time.After(event):
+		case <-ctx.Done():
+			_ = w.CloseWithError(ctx.Err())
+			return
+		}
+		if e.onEvent != nil {
+			e.onEvent(id)
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: e%d\n\n", id, id); err != nil {
+			return
+		}
+	}
+	_ = w.Close()
+}
+
+func (e *pacedEngines) runsSoFar() ([]string, []int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.runs), slices.Clone(e.resumed)
+}
+
+func isFast(id string) bool { return id == "f0" || id == "f1" }
+
+// pacedEndpoint returns an endpoint that holds a weight version.
+func pacedEndpoint(id string, version int64) deployment.Endpoint {
+	return deployment.Endpoint{ID: id, Service: "llm", Address: "x:1", Slots: 8, Versions: map[string]int64{"m": version}}
+}
+
+var _ = Describe("a text at a slow engine", func() {
+	var (
+		llm *pacedEngines
+		p   *process
+	)
+	// start starts a process that knows the speeds of two fast engines and three slow ones. The
+	// fast ones get the weights of the text once it has eventsBeforeUpgrade events.
+	start := func() {
+		llm = &pacedEngines{refuse: map[string]bool{}}
+		p = newProcess("a", standin.NewTransactionalStore(), llm)
+		d := p.owner.Directory
+		d.Remove("llm0")
+		d.Remove("llm1")
+		for _, id := range []string{"f0", "f1", "s0", "s1", "s2"} {
+			d.Put(pacedEndpoint(id, 4))
+			pick := d.Pick("llm", endpoints.Request{Now: time.Now(), Tried: without([]string{"f0", "f1", "s0", "s1", "s2"}, id)})
+			for range 20 {
+				if isFast(id) {
+					pick.ObservePace(fastEvent.Seconds())
+				} else {
+					pick.ObservePace(slowEvent.Seconds())
+				}
+			}
+			pick.End(time.Now(), endpoints.Answered, time.Second, 0)
+		}
+		for _, id := range []string{"s0", "s1", "s2"} {
+			d.Put(pacedEndpoint(id, 5))
+		}
+		var once sync.Once
+		llm.onEvent = func(id int64) {
+			if id == eventsBeforeUpgrade {
+				once.Do(func() { d.Put(pacedEndpoint("f0", 5)); d.Put(pacedEndpoint("f1", 5)) })
+			}
+		}
+	}
+	// submit submits a job with one text that its step has waited for, and waits for its result.
+	submit := func() {
+		p.run()
+		Eventually(func() int { return len(p.members.Live()) }).WithTimeout(eventuallyTimeout).Should(Equal(1))
+		now := time.Now()
+		Expect(p.frontend.Submit(context.Background(), &batch.Spec{
+			ID: "j", Host: "h", Model: "m", MinVersion: 5, MaxAttempts: 3, Submitted: now.Add(-5 * time.Second), Due: now.Add(2500 * time.Millisecond), Expires: now.Add(time.Hour),
+			Items: []batch.Item{{ID: "i0", Path: "/items/x", Body: []byte("b"), Group: "g", LengthHint: 50 * pacedLength}},
+		})).To(Succeed())
+		Eventually(results(p, "j")).WithTimeout(eventuallyTimeout).Should(Equal(1))
+	}
+
+	It("is moved once, to a fast engine, and continues there", func() {
+		// Before, it stayed, as no engine was slower than typical.
+		start()
+		submit()
+		runs, resumed := llm.runsSoFar()
+		Expect(runs).To(HaveLen(2))
+		Expect(isFast(runs[0])).To(BeFalse())
+		Expect(isFast(runs[1])).To(BeTrue())
+		Expect(resumed[1]).To(And(BeNumerically(">=", eventsBeforeUpgrade-1), BeNumerically("<", pacedLength)))
+	})
+
+	It("stays there if the mechanism is disabled", func() {
+		start()
+		p.owner.Switches = &mechanism.Switches{}
+		p.owner.Directory.Switches = p.owner.Switches
+		p.owner.Switches.SetDisabled([]mechanism.Mechanism{mechanism.PlaceByTime})
+		submit()
+		runs, _ := llm.runsSoFar()
+		Expect(runs).To(HaveLen(1))
+	})
+
+	It("goes on at another engine if the one that it is moved to refuses it", func() {
+		// The slot was taken by another process meanwhile.
+		start()
+		llm.refuse["f0"], llm.refuse["f1"] = true, true
+		submit()
+		runs, resumed := llm.runsSoFar()
+		Expect(isFast(runs[1])).To(BeTrue())
+		Expect(isFast(runs[len(runs)-1])).To(BeFalse())
+		Expect(resumed[len(resumed)-1]).To(BeNumerically(">=", eventsBeforeUpgrade-1))
+	})
+})
+
+func without(ids []string, id string) []string {
+	return slices.DeleteFunc(slices.Clone(ids), func(one string) bool { return one == id })
+}
--- a/internal/agentless/batchrun/owner.go
+++ b/internal/agentless/batchrun/owner.go
@@ -90,6 +90,7 @@
 	running chan struct{} // closed when Run has started
 
 	scoreTimes scoreTimes
+	moveTimes  moveTimes
 
 	lastLoad atomic.Pointer[schedule.Load] // of all open jobs at the last dispatch; nil: none yet
 }
@@ -99,6 +100,7 @@
 	aborted       metrics.Counter // those of them that were aborted
 	broken        metrics.Counter // runs that were interrupted
 	moved         metrics.Counter // runs that were cancelled to move the item
+	movedByTime   metrics.Counter // those of them that were moved as the text ends sooner elsewhere
 	resumedItems  metrics.Counter // items that continued a partial text
 	resumedEvents metrics.Counter // events of those texts
 	sample        metrics.Timer   // time from a job's submission until an item's result is durable
@@ -141,6 +143,7 @@
 		listed:        metrics.GetOrRegisterCounter("batch.items.listed", o.Registry),
 		aborted:       metrics.GetOrRegisterCounter("batch.items.aborted", o.Registry),
 		moved:         metrics.GetOrRegisterCounter("batch.runs.moved", o.Registry),
+		movedByTime:   metrics.GetOrRegisterCounter("batch.runs.moved.by_time", o.Registry),
 		resumedItems:  metrics.GetOrRegisterCounter("texts.items", o.Registry),
 		resumedEvents: metrics.GetOrRegisterCounter("texts.events", o.Registry),
 		broken:        metrics.GetOrRegisterCounter("batch.runs.broken", o.Registry),
--- a/internal/agentless/batchrun/runs.go
+++ b/internal/agentless/batchrun/runs.go
@@ -42,6 +42,15 @@
 // run lets one engine continue an item's text.
 func (o *Owner) run(j *ownedJob, start batch.RunStart, pick *directory.Pick) {
 	r := &itemRun{owner: o, job: j, start: start, pick: pick, began: time.Now()}
+	for r != nil {
+		r = o.runAt(r)
+	}
+}
+
+// runAt lets the run's engine continue the item's text. It returns the run that follows if the
+// text was moved to another engine by time.
+func (o *Owner) runAt(r *itemRun) *itemRun {
+	j, start, pick := r.job, r.start, r.pick
 	runOutcome, endpointOutcome, err := r.generate()
 	now := time.Now()
 	if seconds, known := r.pace.measured(); known {
@@ -52,11 +61,16 @@
 	j.mu.Lock()
 	j.job.RunEnded(now, start.Index, runOutcome, pick.ID)
 	o.sinksOf(j).ended(j, start.Index, runOutcome)
+	next := r.continueElsewhere(now, runOutcome)
 	j.mu.Unlock()
 	if j.ctx.Err() == nil {
 		o.recordRun(r, runOutcome, now.Sub(r.began), err)
 	}
+	if next != nil {
+		r.logMove()
+	}
 	o.wakeDispatch()
+	return next
 }
 
 // runOutcomeNames holds the names of the outcomes of runs in log lines, by batch.RunOutcome.
--- a/internal/agentless/batchrun/scheduling.go
+++ b/internal/agentless/batchrun/scheduling.go
@@ -67,12 +67,13 @@
 // package schedule compares it.
 func (o *Owner) view(table *routes.Table, j *ownedJob, now time.Time) schedule.Job {
 	spec := j.job.Spec
-	view := schedule.Job{Age: now.Sub(spec.Submitted).Seconds()}
-	if !spec.Due.IsZero() {
-		view.Due = spec.Due.Sub(spec.Submitted).Seconds()
-	}
+	view := schedule.Job{Age: now.Sub(spec.Submitted).Seconds(), Due: dueSeconds(spec)}
 	if route := table.Match(spec.Host, spec.Items[0].Path); route != nil {
-		view.EventSeconds, _ = o.Directory.TypicalPace(routes.SelectService(route, spec.Items[0].ID))
+		service := routes.SelectService(route, spec.Items[0].ID)
+		view.EventSeconds, _ = o.Directory.TypicalPace(service)
+		if speeds, uneven := o.Directory.UnevenSpeeds(service, now); uneven {
+			view.EventSeconds, view.TypicalSeconds = speeds.Fast, speeds.Typical
+		}
 	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -81,6 +82,14 @@
 	return view
 }
 
+// dueSeconds returns the time from a job's submission until it is due, or 0 if it has no due time.
+func dueSeconds(spec *batch.Spec) float64 {
+	if spec.Due.IsZero() {
+		return 0
+	}
+	return spec.Due.Sub(spec.Submitted).Seconds()
+}
+
 // next returns the item to start next, of any job.
 func (r *round) next() (*openJob, batch.Candidate, bool) {
 	var jobs []*openJob
--- a/internal/agentless/directory/directory.go
+++ b/internal/agentless/directory/directory.go
@@ -154,6 +154,7 @@
 		DisableEjection:  !d.Switches.On(mechanism.SetAside),
 		SharedPreference: !d.Switches.On(mechanism.OwnPreference),
 		IgnoreDomain:     !d.Switches.On(mechanism.NearFirst),
+		IgnoreSpeeds:     !d.Switches.On(mechanism.PlaceByTime),
 	}
 }
 
--- /dev/null
+++ b/internal/agentless/directory/placement.go
@@ -0,0 +1,40 @@
+package directory
+
+import (
+	"time"
+
+	"siskinloom.example/siskinloom/internal/policy/endpoints"
+)
+
+// UnevenSpeeds returns the speeds of a service's endpoints, and whether they are uneven and long
+// requests are therefore placed by time.
+func (d *Directory) UnevenSpeeds(service string, now time.Time) (endpoints.Speeds, bool) {
+	s := d.shard(service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.set.Options = d.options()
+	return s.set.UnevenSpeeds(now)
+}
+
+// RunSeconds returns the expected seconds per unit of work of the request at the picked endpoint,
+// the speeds of the service, and whether the request may be moved by time. measured is what the
+// request itself measured lately; 0: unknown.
+func (p *Pick) RunSeconds(now time.Time, measured float64) (seconds float64, speeds endpoints.Speeds, byTime bool) {
+	p.shard.mu.Lock()
+	defer p.shard.mu.Unlock()
+	speeds, byTime = p.shard.set.UnevenSpeeds(now)
+	return p.shard.set.RunSeconds(p.state, measured), speeds, byTime
+}
+
+// PickFaster picks the endpoint to which the request should move, and returns the decision. It
+// returns nil if the request should stay; see endpoints.Set.PickFaster.
+func (p *Pick) PickFaster(r endpoints.Request, run endpoints.Run) (*Pick, endpoints.Move) {
+	r.Domain = p.domain
+	p.shard.mu.Lock()
+	defer p.shard.mu.Unlock()
+	move, found := p.shard.set.PickFaster(r, p.state, run)
+	if !found {
+		return nil, endpoints.Move{}
+	}
+	return &Pick{Endpoint: move.To.Endpoint, domain: p.domain, shard: p.shard, state: move.To, placement: r.Placement}, move
+}
--- a/internal/agentless/mechanism/mechanism.go
+++ b/internal/agentless/mechanism/mechanism.go
@@ -40,6 +40,9 @@
 	// KeepNarrow keeps other runs off an engine with a critical run if the engine has as many
 	// runs as the critical batch limit.
 	KeepNarrow Mechanism = "keep-narrow"
+	// PlaceByTime places and moves runs by their expected time of completion where engines are
+	// of unequal speed.
+	PlaceByTime Mechanism = "place-by-time"
 	// ShareLoad has the owners of jobs exchange how much load they put on each engine.
 	ShareLoad Mechanism = "share-load"
 	// LearnLengths corrects the estimates of text lengths by the lengths of finished texts.
@@ -70,7 +73,7 @@
 // All returns every mechanism, sorted.
 func All() []Mechanism {
 	all := []Mechanism{
-		Hedges, SetAside, OwnPreference, NearFirst, MoveSlow, MoveCrowded, LongestFirst, SpareLast, ByDelay, KeepNarrow, ShareLoad,
+		Hedges, SetAside, OwnPreference, NearFirst, MoveSlow, MoveCrowded, LongestFirst, SpareLast, ByDelay, KeepNarrow, PlaceByTime, ShareLoad,
 		LearnLengths, WholeSteps, TextJournal, TextCopies, CacheResults, ReadNear, AlternateLoads, TellLoads, TakeOver, StandbyRuns, Relay,
 	}
 	sort.Slice(all, func(i, j int) bool { return all[i] < all[j] })
--- a/internal/events/fleet.go
+++ b/internal/events/fleet.go
@@ -95,3 +95,8 @@
 	UsageNotSent     = define(2404, logrus.WarnLevel, "usage counts could not be sent to a process")
 	UsageUnreadable  = define(2405, logrus.ErrorLevel, "stored usage report cannot be read")
 )
+
+// Events of the placement by time: 2510 to 2519.
+var (
+	ItemMoved = define(2510, logrus.InfoLevel, "text moved to an engine where it ends sooner")
+)
--- a/internal/policy/endpoints/delay.go
+++ b/internal/policy/endpoints/delay.go
@@ -26,7 +26,10 @@
 // exceedsCriticalBatchLimit reports whether a request with the placement may not
 // join the critical requests at the endpoint, as it would slow them down.
 func (e *State) exceedsCriticalBatchLimit(p *Placement) bool {
-	return p.CriticalBatchLimit > 0 && !p.Critical && e.critical+e.others.Heavy > 0 && e.running() >= p.CriticalBatchLimit
+	if p.CriticalBatchLimit <= 0 || p.Critical || e.critical+e.others.Heavy <= 0 || e.running() < p.CriticalBatchLimit {
+		return false
+	}
+	return !e.set.placesByTime() || e.set.crowdingMatters(e)
 }
 
 // addPlacement counts the placement of a request that was sent to the endpoint.
--- a/internal/policy/endpoints/endpoints.go
+++ b/internal/policy/endpoints/endpoints.go
@@ -107,6 +107,7 @@
 	newCosts   int     // costs observed since it was computed
 	pace       float64 // cached median of the paces
 	newPaces   int     // paces observed since it was computed
+	speeds     speedSummary
 }
 
 // Options switches off parts of the selection. The zero value is the normal behaviour.
@@ -114,6 +115,7 @@
 	DisableEjection  bool // failing endpoints are not ejected
 	SharedPreference bool // all processes prefer the same endpoint among equal ones
 	IgnoreDomain     bool // endpoints in other failure domains are as good as those in the own one
+	IgnoreSpeeds     bool // long requests are not placed by time where speeds are uneven
 }
 
 // NewSet returns an empty Set for the process named self. Each process has its own
@@ -184,6 +186,7 @@
 	cost, pace := s.typicalCost(), 0.0
 	if r.RemainingWork > 0 {
 		pace = s.TypicalPace()
+		s.UnevenSpeeds(r.Now)
 	}
 	for _, e := range s.list {
 		if !e.eligible(&r) {
@@ -205,14 +208,19 @@
 	if best == nil {
 		return nil
 	}
-	if best.failures > 0 {
-		best.probing = true
-	}
-	best.InFlight++
-	best.addPlacement(&r.Placement)
+	best.take(&r.Placement)
 	return best
 }
 
+// take counts a request that is sent to the endpoint.
+func (e *State) take(p *Placement) {
+	if e.failures > 0 {
+		e.probing = true
+	}
+	e.InFlight++
+	e.addPlacement(p)
+}
+
 // eligible reports whether the endpoint may serve the request, regardless of earlier
 // failures and refusals.
 func (e *State) eligible(r *Request) bool {
@@ -225,7 +233,7 @@
 	if r.RequireFreeSlot && e.running() >= e.slots() {
 		return false
 	}
-	if e.exceedsCriticalBatchLimit(&r.Placement) {
+	if e.exceedsCriticalBatchLimit(&r.Placement) || e.set.placesByTime() && e.set.takesLastFastSlot(e, &r.Placement) {
 		return false
 	}
 	if r.Model == "" {
@@ -250,6 +258,9 @@
 // at an idle endpoint of typical speed, or the delay that a long request adds.
 func (e *State) score(r *Request, typicalCost, typicalPace float64) float64 {
 	if r.RemainingWork > 0 {
+		if e.set.placesByTime() {
+			return e.set.addedSeconds(e, &r.Placement)
+		}
 		return e.addedDelay(&r.Placement, typicalPace)
 	}
 	load := float64(e.InFlight+1) / float64(e.slots())
--- a/internal/policy/schedule/schedule.go
+++ b/internal/policy/schedule/schedule.go
@@ -33,6 +33,10 @@
 	// have capacity, and delay their own step: spare items, and items whose step runs beside
 	// one that an earlier fault has delayed.
 	yieldShare = 0.5
+	// hurryShare is the share of a step's time until due after which no text should end, by its
+	// estimate. The rest is for texts that turn out longer, their scores and the write of the
+	// results.
+	hurryShare = 0.6
 	// defaultDueSeconds is the time that a step has if its job has no due time.
 	defaultDueSeconds = 8.0
 	// minBatchLimit keeps capacity for short items under a light load.
@@ -44,16 +48,33 @@
 	Age          float64 // since its submission
 	Work         float64 // expected remaining events of its texts
 	Longest      float64 // expected remaining events of the longest text that its trainer waits for
-	EventSeconds float64 // time per event; 0 if unknown
+	EventSeconds float64 // time per event; 0 if unknown. Where engines are of unequal speed, at a fast one
 	Due          float64 // from its submission until it is due; 0 if unknown
+	// TypicalSeconds is the time per event at an engine that is not fast; 0 where engines are
+	// of equal speed.
+	TypicalSeconds float64
+}
+
+// unhurriedSeconds returns the time after its submission before which nothing waits for the end
+// of the job's texts. Where engines are of unequal speed, a text that ends by then at a slow one
+// gains nothing from a fast one.
+func (j *Job) unhurriedSeconds() float64 {
+	if j.TypicalSeconds == 0 {
+		return 0
+	}
+	return min(j.yieldSeconds(), yieldShare*defaultDueSeconds)
 }
 
 // yieldSeconds returns how long after its submission the job's items yield to critical runs.
 func (j *Job) yieldSeconds() float64 {
+	return yieldShare * j.dueSeconds()
+}
+
+func (j *Job) dueSeconds() float64 {
 	if j.Due > 0 {
-		return yieldShare * j.Due
+		return j.Due
 	}
-	return yieldShare * defaultDueSeconds
+	return defaultDueSeconds
 }
 
 func (j *Job) eventSeconds() float64 {
@@ -67,6 +88,14 @@
 // if it waited only for a text with the given number of remaining events.
 func (j *Job) Projected(remaining float64) float64 { return j.Age + remaining*j.eventSeconds() }
 
+// projectedTypical returns the same for a text at an engine that is not fast.
+func (j *Job) projectedTypical(remaining float64) float64 {
+	if j.TypicalSeconds == 0 {
+		return j.Projected(remaining)
+	}
+	return j.Age + remaining*j.TypicalSeconds
+}
+
 // Load is the load of the open jobs of one or several processes.
 type Load struct {
 	Projected float64 // seconds from submission to completion of the step that is expected to take longest
@@ -82,7 +111,7 @@
 		l.Work += j.Work
 		l.Longest = max(l.Longest, j.Longest)
 		if j.Longest > 0 {
-			l.Projected = max(l.Projected, j.Projected(j.Longest))
+			l.Projected = max(l.Projected, j.Projected(j.Longest), j.unhurriedSeconds())
 		}
 	}
 	return l
@@ -98,12 +127,14 @@
 
 // Weight returns, from 0 to 1, how much the completion time of a run with the given number
 // of remaining events matters: 1 for the run that determines when the longest step ends,
-// close to 0 for a run that completes long before.
+// close to 0 for a run that completes long before. Where engines are of unequal speed, the run
+// is compared at a typical engine with the longest step at fast ones: a text that would be the
+// last of its step at a slow engine matters as much as a longer one.
 func (l *Load) Weight(j *Job, remaining float64, spare bool) float64 {
 	if spare || l.Projected <= 0 {
 		return spareWeight
 	}
-	return math.Pow(min(1, j.Projected(remaining)/l.Projected), weightExponent)
+	return math.Pow(min(1, j.projectedTypical(remaining)/l.Projected), weightExponent)
 }
 
 // IsCritical reports whether a step waits for the run to complete. Other runs should stay
@@ -113,6 +144,18 @@
 	return l.Weight(j, remaining, spare) >= CriticalWeight
 }
 
+// WaitsFor reports whether a step would wait for the run at its current engine, where engines are
+// of unequal speed: the run would be the last of all steps, or would end so late that its own step
+// may miss the time that it is due. The job's TypicalSeconds is the time per event at the run's
+// current engine.
+func (l *Load) WaitsFor(j *Job, remaining float64, spare bool) bool {
+	if spare || l.Projected <= 0 {
+		return false
+	}
+	late := hurryShare * j.dueSeconds()
+	return j.projectedTypical(remaining) >= max(j.unhurriedSeconds(), min(l.Projected, late))
+}
+
 // CriticalBatchLimit returns the number of requests at an engine with a critical run below
 // which a run that is not critical may start there too: somewhat more than each engine has
 // if the work is spread evenly over the time of the longest text. 0 means no limit: the
