--- a/internal/agentless/directory/directory.go
+++ b/internal/agentless/directory/directory.go
@@ -155,6 +155,7 @@
 		SharedPreference: !d.Switches.On(mechanism.OwnPreference),
 		IgnoreDomain:     !d.Switches.On(mechanism.NearFirst),
 		IgnoreSpeeds:     !d.Switches.On(mechanism.LearnSpeeds),
+		PlaceByLoad:      !d.Switches.On(mechanism.PlaceByTime),
 	}
 }
 
--- a/internal/events/fleet.go
+++ b/internal/events/fleet.go
@@ -102,3 +102,8 @@
 	SpeedChanged = define(2501, logrus.InfoLevel, "speed of an endpoint changed")
 	SpeedsUneven = define(2502, logrus.InfoLevel, "speeds of a service's endpoints became uneven or even")
 )
+
+// Events of the placement by time: 2510 to 2519.
+var (
+	ItemMoved = define(2510, logrus.InfoLevel, "text moved to an engine where it ends sooner")
+)
--- a/internal/policy/endpoints/endpoints.go
+++ b/internal/policy/endpoints/endpoints.go
@@ -112,6 +112,7 @@
 	newPaces   int     // paces observed since it was computed
 
 	speeds *speed.Model
+	levels speedLevels
 }
 
 // Options switches off parts of the selection. The zero value is the normal behaviour.
@@ -120,6 +121,7 @@
 	SharedPreference bool // all processes prefer the same endpoint among equal ones
 	IgnoreDomain     bool // endpoints in other failure domains are as good as those in the own one
 	IgnoreSpeeds     bool // speeds are neither learned nor used
+	PlaceByLoad      bool // long requests are not placed by time where speeds are uneven
 }
 
 // NewSet returns an empty Set for the process named self. Each process has its own
@@ -188,7 +190,7 @@
 func (s *Set) Pick(r Request) *State {
 	s.dropStaleReports(r.Now)
 	if probe := s.probe(&r); probe != nil {
-		probe.begin(&r)
+		probe.take(&r.Placement)
 		return probe
 	}
 	best, fallback := (*State)(nil), (*State)(nil)
@@ -196,6 +198,7 @@
 	cost, pace := s.typicalCost(), 0.0
 	if r.RemainingWork > 0 {
 		pace = s.TypicalPace()
+		s.UnevenSpeeds(r.Now)
 	}
 	for _, e := range s.list {
 		if !e.eligible(&r) {
@@ -217,17 +220,17 @@
 	if best == nil {
 		return nil
 	}
-	best.begin(&r)
+	best.take(&r.Placement)
 	return best
 }
 
-// begin counts a request that was sent to the endpoint.
-func (e *State) begin(r *Request) {
+// take counts a request that is sent to the endpoint.
+func (e *State) take(p *Placement) {
 	if e.failures > 0 {
 		e.probing = true
 	}
 	e.InFlight++
-	e.addPlacement(&r.Placement)
+	e.addPlacement(p)
 }
 
 // eligible reports whether the endpoint may serve the request, regardless of earlier
@@ -242,7 +245,7 @@
 	if r.RequireFreeSlot && e.running() >= e.slots() {
 		return false
 	}
-	if e.exceedsCriticalBatchLimit(&r.Placement) {
+	if e.exceedsCriticalBatchLimit(&r.Placement) || e.set.placesByTime() && e.set.takesLastFastSlot(e, &r.Placement) {
 		return false
 	}
 	if r.Model == "" {
@@ -267,6 +270,9 @@
 // at an idle endpoint of typical speed, or the delay that a long request adds.
 func (e *State) score(r *Request, typicalCost, typicalPace float64) float64 {
 	if r.RemainingWork > 0 {
+		if e.set.placesByTime() {
+			return e.set.addedSeconds(e, &r.Placement)
+		}
 		return e.addedDelay(&r.Placement, typicalPace)
 	}
 	load := float64(e.InFlight+1) / float64(e.slots())
