Weight loads and start order where engines are of unequal speed

Cause: the engines of a model were chosen by a hash and, at each version, by their order in the list, so a step could find one fast engine of its model with usable weights. The order of starts compared texts at the typical speed, so a short text of an old step could take the last fast engine before a long text of a fresh one.

Ruled out: sending the fast engines with the load messages. They go to owners of jobs, and the process that sends the weight orders usually owns none. It is told with each step instead (Weights.Fast, to the holder of the duty).

Change: modelplan.Planner assigns each model its share of the fast engines before the others, and half of these load each version.

--- a/internal/agentless/batchrun/scheduling.go
+++ b/internal/agentless/batchrun/scheduling.go
@@ -73,6 +73,7 @@
 		view.EventSeconds, _ = o.Directory.TypicalPace(service)
 		if speeds, uneven := o.Directory.UnevenSpeeds(service, now); uneven {
 			view.EventSeconds, view.TypicalSeconds = speeds.Fast, speeds.Typical
+			view.StartSeconds = o.Directory.SlowestFree(service, engineRequest(spec, batch.RunStart{}, now))
 		}
 	}
 	j.mu.Lock()
--- a/internal/agentless/directory/placement.go
+++ b/internal/agentless/directory/placement.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"slices"
 	"time"
 
 	"siskinloom.example/siskinloom/internal/policy/endpoints"
@@ -16,6 +17,16 @@
 	return s.set.UnevenSpeeds(now)
 }
 
+// SlowestFree returns the seconds per unit of work at the slowest endpoint of a service that could
+// serve the request now, or 0 if there is none.
+func (d *Directory) SlowestFree(service string, r endpoints.Request) float64 {
+	r.Domain = d.domain
+	s := d.shard(service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.set.SlowestFree(r)
+}
+
 // RunSeconds returns the expected seconds per unit of work of the request at the picked endpoint,
 // the speeds of the service, and whether the request may be moved by time. measured is what the
 // request itself measured lately; 0: unknown.
@@ -38,3 +49,27 @@
 	}
 	return &Pick{Endpoint: move.To.Endpoint, domain: p.domain, shard: p.shard, state: move.To, placement: r.Placement}, move
 }
+
+// FastEngines returns the IDs of the endpoints that are faster than typical, of the services that
+// serve the model and whose speeds are uneven.
+func (d *Directory) FastEngines(model string, now time.Time) []string {
+	table := d.table.Load()
+	if table == nil {
+		return nil
+	}
+	var fast []string
+	for name, service := range table.Declaration.Services {
+		if slices.Contains(service.Models, model) {
+			fast = append(fast, d.fastEndpoints(name, now)...)
+		}
+	}
+	return fast
+}
+
+func (d *Directory) fastEndpoints(service string, now time.Time) []string {
+	s := d.shard(service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.set.Options = d.options()
+	return s.set.FastEndpoints(now)
+}
--- a/internal/agentless/modelrun/modelrun.go
+++ b/internal/agentless/modelrun/modelrun.go
@@ -76,6 +76,7 @@
 	newestSteps    map[string]NeedArgs           // newest step by model
 	planners       map[string]*modelplan.Planner // by service
 	accepted       map[engineKey]int64           // number of accepted orders, where it is known
+	fast           map[string][]string           // fast engines that were reported since the last plan, by service
 	orders         errgroup.Group
 }
 
@@ -108,6 +109,28 @@
 	}
 }
 
+// RecordFast records the engines of a model that a process knows to be faster than typical. Engines
+// that are not listed are ignored.
+func (r *Runner) RecordFast(args FastArgs) {
+	if !r.Switches.On(mechanism.PlaceByTime) {
+		return
+	}
+	if len(args.Engines) > maxFastEngines {
+		events.FastReportUnused.Log(r.Log, logrus.Fields{"from": args.From, "field": "Engines", "error": "too many"})
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.fast == nil {
+		r.fast = map[string][]string{}
+	}
+	for _, id := range args.Engines {
+		if service := r.Directory.ServiceOf(id); service != "" && len(r.fast[service]) < maxFastEngines {
+			r.fast[service] = append(r.fast[service], id)
+		}
+	}
+}
+
 // Run plans and sends orders until ctx ends.
 func (r *Runner) Run(ctx context.Context) error {
 	periodic.Run(ctx, planInterval, func(now time.Time) {
@@ -172,6 +195,8 @@
 		planner = modelplan.New(models)
 		r.planners[service] = planner
 	}
+	planner.RecordFast(time.Now(), r.fast[service])
+	delete(r.fast, service)
 	planner.LoadEveryVersion = !r.Switches.On(mechanism.AlternateLoads)
 	for _, model := range models {
 		planner.SetNewestVersion(time.Now(), model, r.newestVersions[model])
--- a/internal/agentless/node/node.go
+++ b/internal/agentless/node/node.go
@@ -208,7 +208,10 @@
 	n.owner.Ineligible = n.ineligibleForJobs
 	n.owner.OnAdopt = func(spec *batch.Spec) {
 		n.registrar.Refresh()
-		modelrun.BroadcastStep(context.Background(), n.members, peers, modelrun.NeedArgs{Model: spec.Model, Version: spec.MinVersion, Items: len(spec.Items)})
+		step := modelrun.NeedArgs{Model: spec.Model, Version: spec.MinVersion, Items: len(spec.Items)}
+		fast := modelrun.FastArgs{From: s.ID, Model: spec.Model, Engines: n.directory.FastEngines(spec.Model, time.Now())}
+		modelrun.BroadcastStep(context.Background(), n.members, peers, step)
+		modelrun.SendFast(context.Background(), n.members, peers, keyDuty, fast)
 	}
 	if s.Worker {
 		n.relay = cluster.NewRelay(self.Boot)
--- a/internal/events/fleet.go
+++ b/internal/events/fleet.go
@@ -98,5 +98,6 @@
 
 // Events of the placement by time: 2510 to 2519.
 var (
-	ItemMoved = define(2510, logrus.InfoLevel, "text moved to an engine where it ends sooner")
+	ItemMoved        = define(2510, logrus.InfoLevel, "text moved to an engine where it ends sooner")
+	FastReportUnused = define(2511, logrus.WarnLevel, "report of fast engines was not used")
 )
--- a/internal/lab/steps/steps.go
+++ b/internal/lab/steps/steps.go
@@ -274,6 +274,7 @@
 		views[i] = schedule.Job{Age: w.now.Sub(j.submitted).Seconds(), Work: work, Longest: longest, EventSeconds: pace}
 		if speeds, uneven := w.set.UnevenSpeeds(w.now); uneven {
 			views[i].EventSeconds, views[i].TypicalSeconds = speeds.Fast, speeds.Typical
+			views[i].StartSeconds = w.set.SlowestFree(endpoints.Request{Now: w.now, Model: model, MinVersion: 1, RequireFreeSlot: true, Tried: w.loadingEngines(j)})
 		}
 	}
 	load := schedule.TotalLoad(views)
--- a/internal/policy/endpoints/placement.go
+++ b/internal/policy/endpoints/placement.go
@@ -70,6 +70,32 @@
 	return Speeds{Typical: typical, Fast: fast}
 }
 
+// FastEndpoints returns the IDs of the fast endpoints if speeds are uneven.
+func (s *Set) FastEndpoints(now time.Time) []string {
+	if _, uneven := s.UnevenSpeeds(now); !uneven {
+		return nil
+	}
+	var fast []string
+	for _, e := range s.list {
+		if s.isFast(e) {
+			fast = append(fast, e.ID)
+		}
+	}
+	return fast
+}
+
+// SlowestFree returns the seconds per unit of work at the slowest endpoint that could serve the
+// request now, or 0 if there is none.
+func (s *Set) SlowestFree(r Request) float64 {
+	slowest := 0.0
+	for _, e := range s.list {
+		if e.eligible(&r) && e.available(r.Now) {
+			slowest = max(slowest, s.UnitSeconds(e, float64(e.running())))
+		}
+	}
+	return slowest
+}
+
 // placesByTime reports whether long requests are placed by time, as of the last summary.
 func (s *Set) placesByTime() bool { return s.speeds.uneven && !s.Options.IgnoreSpeeds }
 
--- a/internal/policy/modelplan/modelplan.go
+++ b/internal/policy/modelplan/modelplan.go
@@ -13,6 +13,10 @@
 // at once. Each model is assigned engines in proportion to its share of the items, but
 // no more than its steps can use. The model with the smallest fraction of ready engines
 // loads first.
+//
+// Where engines are of unequal speed, a step whose model is loaded at slow engines only cannot
+// be on time. Each model then has its share of the fast engines, half of which load each version
+// like the half of all engines. Which engine runs a text is decided by package endpoints.
 package modelplan
 
 import (
@@ -120,13 +124,14 @@
 	allowedLag     map[string]int64     // how many versions behind the newest a step accepts at most, by model
 	meanItems      map[string]float64   // moving average of the items per step, by model
 	pending        map[string]*pending  // latest orders by engine ID
+	fast           map[string]time.Time // when an engine was last known to be fast, by engine ID
 }
 
 // New returns a planner for the models of a service.
 func New(models []string) *Planner {
 	sorted := append([]string(nil), models...)
 	sort.Strings(sorted)
-	return &Planner{models: sorted, newest: map[string]int64{}, newestAt: map[string]time.Time{}, oldestAccepted: map[string]int64{}, allowedLag: map[string]int64{}, meanItems: map[string]float64{}, pending: map[string]*pending{}}
+	return &Planner{models: sorted, newest: map[string]int64{}, newestAt: map[string]time.Time{}, oldestAccepted: map[string]int64{}, allowedLag: map[string]int64{}, meanItems: map[string]float64{}, pending: map[string]*pending{}, fast: map[string]time.Time{}}
 }
 
 // SetNewestVersion records the newest version of a model. It ignores a version that is
@@ -156,6 +161,7 @@
 func (p *Planner) Next(now time.Time, engines []Engine) []Order {
 	live := usable(engines)
 	p.updatePending(now, live)
+	p.expireFast(now)
 	assigned := p.assign(live)
 	var orders []Order
 	for free := p.freeLoads(len(live)); free > 0; free-- {
@@ -283,13 +289,24 @@
 		return pairs[a].hash > pairs[b].hash
 	})
 	modelCount := make([]int, len(live))
-	for _, c := range pairs {
-		if modelCount[c.engine] == versionStride || len(assigned[c.model]) >= quota[c.model] {
-			continue
+	taken := map[pair]bool{}
+	assign := func(c pair, limit int) {
+		if taken[c] || modelCount[c.engine] == versionStride || len(assigned[c.model]) >= limit {
+			return
 		}
+		taken[c] = true
 		modelCount[c.engine]++
 		assigned[c.model] = append(assigned[c.model], live[c.engine])
 	}
+	shares := p.fastShares(live, quota)
+	for _, c := range pairs {
+		if p.isFast(live[c.engine]) {
+			assign(c, shares[c.model])
+		}
+	}
+	for _, c := range pairs {
+		assign(c, quota[c.model])
+	}
 	return assigned
 }
 
@@ -361,10 +378,25 @@
 
 // nextEngine returns the engine that should load the model's newest version next. This
 // is preferably an engine that cannot serve the newest step, otherwise one of the half
-// that loads this version. It returns false if no load is due.
+// that loads this version. Fast engines come first, and half of them load each version. It
+// returns false if no load is due.
 func (p *Planner) nextEngine(now time.Time, model string, engines []Engine) (Engine, bool) {
+	fast, others := p.split(engines)
+	first, firstDue, urgent := p.nextOfClass(now, model, fast)
+	if firstDue && urgent {
+		return first, true
+	}
+	second, secondDue, urgent := p.nextOfClass(now, model, others)
+	if firstDue && !(secondDue && urgent) {
+		return first, true
+	}
+	return second, secondDue
+}
+
+// nextOfClass returns the engine of a class that should load the model's newest version next,
+// whether a load is due, and whether the engine cannot serve the newest step.
+func (p *Planner) nextOfClass(now time.Time, model string, engines []Engine) (chosen Engine, due, urgent bool) {
 	upToDate, maxLag := 0, int64(0)
-	var chosen Engine
 	found := false
 	for _, e := range engines {
 		lag := p.lag(e, model)
@@ -377,13 +409,13 @@
 		}
 	}
 	if !found || maxLag >= versionStride || chosen.Versions[model] < p.oldestAccepted[model] {
-		return chosen, found
+		return chosen, found, true
 	}
 	if now.Sub(p.newestAt[model]) < newVersionDelay {
-		return Engine{}, false
+		return Engine{}, false, false
 	}
 	// The other half of the engines loads the next version.
-	return chosen, p.LoadEveryVersion || p.allowedLag[model] == 0 || 2*upToDate < len(engines)
+	return chosen, p.LoadEveryVersion || p.allowedLag[model] == 0 || 2*upToDate < len(engines), false
 }
 
 // hasOrder reports whether the engine has an order for the model's newest version.
--- a/internal/policy/schedule/schedule.go
+++ b/internal/policy/schedule/schedule.go
@@ -53,6 +53,9 @@
 	// TypicalSeconds is the time per event at an engine that is not fast; 0 where engines are
 	// of equal speed.
 	TypicalSeconds float64
+	// StartSeconds is the time per event at the slowest engine with a free slot, where engines
+	// are of unequal speed; 0: as TypicalSeconds.
+	StartSeconds float64
 }
 
 // unhurriedSeconds returns the time after its submission before which nothing waits for the end
@@ -96,6 +99,15 @@
 	return j.Age + remaining*j.TypicalSeconds
 }
 
+// projectedStart returns the same for a text that starts now and gets no better engine than the
+// slowest free one.
+func (j *Job) projectedStart(remaining float64) float64 {
+	if j.TypicalSeconds == 0 || j.StartSeconds == 0 {
+		return j.projectedTypical(remaining)
+	}
+	return j.Age + remaining*j.StartSeconds
+}
+
 // Load is the load of the open jobs of one or several processes.
 type Load struct {
 	Projected float64 // seconds from submission to completion of the step that is expected to take longest
@@ -179,12 +191,13 @@
 
 // Choose returns the index of the candidate that starts next: the one whose step would
 // complete last if it started now. Spare items come after all others. It returns -1 if
-// there are no candidates.
+// there are no candidates. Where engines are of unequal speed, items are compared at the slowest
+// free engine: the first ones get the fast engines.
 func Choose(candidates []Candidate) int {
 	chosen, latest := -1, 0.0
 	for i := range candidates {
 		c := &candidates[i]
-		projected := c.Job.Projected(c.RemainingWork)
+		projected := c.Job.projectedStart(c.RemainingWork)
 		if chosen < 0 || candidates[chosen].Spare && !c.Spare || candidates[chosen].Spare == c.Spare && projected > latest {
 			chosen, latest = i, projected
 		}
--- a/internal/policy/schedule/schedule_test.go
+++ b/internal/policy/schedule/schedule_test.go
@@ -101,4 +101,50 @@
 		Expect(schedule.Choose([]schedule.Candidate{{Job: old, RemainingWork: 160, Spare: true}, {Job: fresh, RemainingWork: 170, Spare: true}})).To(Equal(0))
 		Expect(schedule.Choose(nil)).To(Equal(-1))
 	})
+
+	It("compares items at the slowest free engine where speeds are uneven", func() {
+		// Once the fast engines are taken, a text of 100 events of a fresh step ends after 5.5 s
+		// at a slow one, and a text of 20 events of a step that is 4 s old after 5.1 s. By the
+		// speed of the fast engines, the short one took the last of them.
+		old := schedule.Job{Age: 4, EventSeconds: 0.026, TypicalSeconds: 0.055}
+		fresh := schedule.Job{EventSeconds: 0.026, TypicalSeconds: 0.055}
+		candidates := []schedule.Candidate{{Job: &old, RemainingWork: 20}, {Job: &fresh, RemainingWork: 100}}
+		Expect(schedule.Choose(candidates)).To(Equal(1))
+		old.StartSeconds, fresh.StartSeconds = 0.026, 0.026
+		Expect(schedule.Choose(candidates)).To(Equal(0), "only fast engines are free")
+	})
+})
+
+var _ = Describe("Load where engines are of unequal speed", func() {
+	const fast, slow = 0.026, 0.055
+	view := func(age, longest float64) schedule.Job {
+		return schedule.Job{Age: age, Work: 3000, Longest: longest, Due: 7.5, EventSeconds: fast, TypicalSeconds: slow}
+	}
+
+	It("counts a text as critical that would be the last of its step at a slow engine", func() {
+		// A text of 75 events ends after 4.1 s at a slow engine, one of 150 after 3.9 s at a fast
+		// one. Compared by their events, the shorter one could run anywhere.
+		step := view(0, 150)
+		load := schedule.TotalLoad([]schedule.Job{step})
+		Expect(load.Weight(&step, 75, false)).To(BeNumerically("==", 1))
+		Expect(load.Weight(&step, 20, false)).To(BeNumerically("<", schedule.CriticalWeight))
+	})
+
+	It("waits for a text that ends late at its engine, but not for one that ends before half of the time until due", func() {
+		step := view(0, 150)
+		load := schedule.TotalLoad([]schedule.Job{step})
+		Expect(load.WaitsFor(&step, 80, false)).To(BeTrue())
+		Expect(load.WaitsFor(&step, 60, false)).To(BeFalse(), "it ends after 3.3 s")
+		Expect(load.WaitsFor(&step, 80, true)).To(BeFalse(), "the trainer does not need it")
+		none := schedule.TotalLoad(nil)
+		Expect(none.WaitsFor(&step, 80, false)).To(BeFalse())
+	})
+
+	It("waits for a text whose own step may be late, whatever another step waits for", func() {
+		// A step that a fault has delayed by 20 s would otherwise keep all texts of the other
+		// trainers' steps at their slow engines.
+		delayed, step := view(20, 100), view(2, 50)
+		load := schedule.TotalLoad([]schedule.Job{delayed, step})
+		Expect(load.WaitsFor(&step, 50, false)).To(BeTrue())
+	})
 })
