--- a/internal/agentless/batchrun/owner.go
+++ b/internal/agentless/batchrun/owner.go
@@ -82,6 +82,7 @@
 	former         *formerJobs
 	lengths        map[string]*sharedLengths // by model
 	loads          reportedLoads
+	speeds         speedExchange
 	wake           chan struct{}
 	storeRecovered chan struct{} // closed and replaced when the store answers again
 	runs           errgroup.Group
@@ -90,15 +91,19 @@
 	running chan struct{} // closed when Run has started
 
 	scoreTimes scoreTimes
+	moveTimes  moveTimes
 
 	lastLoad atomic.Pointer[schedule.Load] // of all open jobs at the last dispatch; nil: none yet
 }
 
 type stats struct {
+	speedStats
+
 	listed        metrics.Counter // items whose result became durable
 	aborted       metrics.Counter // those of them that were aborted
 	broken        metrics.Counter // runs that were interrupted
 	moved         metrics.Counter // runs that were cancelled to move the item
+	movedByTime   metrics.Counter // those of them that were moved as the text ends sooner elsewhere
 	resumedItems  metrics.Counter // items that continued a partial text
 	resumedEvents metrics.Counter // events of those texts
 	sample        metrics.Timer   // time from a job's submission until an item's result is durable
@@ -138,9 +143,11 @@
 		o.RetryDelay = writeRetryDelay
 	}
 	o.stats = stats{
+		speedStats:    newSpeedStats(o.Registry),
 		listed:        metrics.GetOrRegisterCounter("batch.items.listed", o.Registry),
 		aborted:       metrics.GetOrRegisterCounter("batch.items.aborted", o.Registry),
 		moved:         metrics.GetOrRegisterCounter("batch.runs.moved", o.Registry),
+		movedByTime:   metrics.GetOrRegisterCounter("batch.runs.moved.by_time", o.Registry),
 		resumedItems:  metrics.GetOrRegisterCounter("texts.items", o.Registry),
 		resumedEvents: metrics.GetOrRegisterCounter("texts.events", o.Registry),
 		broken:        metrics.GetOrRegisterCounter("batch.runs.broken", o.Registry),
@@ -163,6 +170,7 @@
 	group.Go(func() error { return o.Texts.Run(ctx) })
 	group.Go(func() error { return o.Copier.run(ctx) })
 	group.Go(func() error { return o.sendLoads(ctx) })
+	group.Go(func() error { return o.watchSpeeds(ctx) })
 	group.Go(func() error { return o.Standby.run(ctx) })
 	return group.Wait()
 }
--- a/internal/agentless/mechanism/mechanism.go
+++ b/internal/agentless/mechanism/mechanism.go
@@ -40,8 +40,13 @@
 	// KeepNarrow keeps other runs off an engine with a critical run if the engine has as many
 	// runs as the critical batch limit.
 	KeepNarrow Mechanism = "keep-narrow"
+	// PlaceByTime places and moves runs by their expected time of completion where engines are
+	// of unequal speed.
+	PlaceByTime Mechanism = "place-by-time"
 	// ShareLoad has the owners of jobs exchange how much load they put on each engine.
 	ShareLoad Mechanism = "share-load"
+	// LearnSpeeds learns how fast each endpoint is, and has the owners of jobs exchange it.
+	LearnSpeeds Mechanism = "learn-speeds"
 	// LearnLengths corrects the estimates of text lengths by the lengths of finished texts.
 	LearnLengths Mechanism = "learn-lengths"
 	// WholeSteps writes results once their step is complete.
@@ -70,8 +75,8 @@
 // All returns every mechanism, sorted.
 func All() []Mechanism {
 	all := []Mechanism{
-		Hedges, SetAside, OwnPreference, NearFirst, MoveSlow, MoveCrowded, LongestFirst, SpareLast, ByDelay, KeepNarrow, ShareLoad,
-		LearnLengths, WholeSteps, TextJournal, TextCopies, CacheResults, ReadNear, AlternateLoads, TellLoads, TakeOver, StandbyRuns, Relay,
+		Hedges, SetAside, OwnPreference, NearFirst, MoveSlow, MoveCrowded, LongestFirst, SpareLast, ByDelay, KeepNarrow, PlaceByTime, ShareLoad,
+		LearnSpeeds, LearnLengths, WholeSteps, TextJournal, TextCopies, CacheResults, ReadNear, AlternateLoads, TellLoads, TakeOver, StandbyRuns, Relay,
 	}
 	sort.Slice(all, func(i, j int) bool { return all[i] < all[j] })
 	return all
