--- a/internal/agentless/batchrun/export_test.go
+++ b/internal/agentless/batchrun/export_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"siskinloom.example/siskinloom/internal/kv"
 	"siskinloom.example/siskinloom/internal/policy/batch"
+	"siskinloom.example/siskinloom/internal/policy/endpoints"
 )
 
 // MarkedUnresponsive reports whether a process was found unresponsive.
@@ -110,3 +112,12 @@
 
 // UnpackParts decodes the parts of texts of a message.
 func UnpackParts(raw []byte) ([]batch.TextPart, error) { return unpack[[]batch.TextPart](raw) }
+
+// Pace measures the time between a run's events.
+type Pace = pace
+
+// ObserveEvent records an event of a run, and returns what the run measured lately.
+func ObserveEvent(p *Pace, now time.Time) endpoints.Measured {
+	p.observe(now)
+	return p.recent()
+}
--- a/internal/agentless/batchrun/moves.go
+++ b/internal/agentless/batchrun/moves.go
@@ -25,11 +25,11 @@
 // speeds of engines are uneven, one decision by time replaces those about slow and crowded
 // engines.
 func (r *itemRun) reasonToMove() error {
-	if r.generated%slowCheckEvents != 0 {
+	if r.generated%slowCheckEvents != 0 && !r.pace.sectionEnded() {
 		return nil
 	}
 	now := time.Now()
-	if seconds, speeds, byTime := r.pick.RunSeconds(now, r.pace.lasting()); byTime {
+	if seconds, speeds, byTime := r.pick.RunSeconds(now, r.pace.recent()); byTime {
 		if r.endsSoonerElsewhere(now, seconds, speeds) {
 			return errEndsSooner
 		}
@@ -49,7 +49,7 @@
 // the expected time per event at the current engine.
 func (r *itemRun) endsSoonerElsewhere(now time.Time, seconds float64, speeds endpoints.Speeds) bool {
 	load := r.owner.lastLoad.Load()
-	if _, measured := r.pace.measured(); load == nil || !measured || !r.owner.Switches.On(mechanism.MoveSlow) && !r.owner.Switches.On(mechanism.MoveCrowded) {
+	if load == nil || !r.mayMove() || !r.owner.Switches.On(mechanism.MoveSlow) && !r.owner.Switches.On(mechanism.MoveCrowded) {
 		return false
 	}
 	request := engineRequest(r.job.job.Spec, r.start, now)
@@ -57,7 +57,7 @@
 	if !request.Critical {
 		return false
 	}
-	pick, move := r.pick.PickFaster(request, endpoints.Run{UnitSeconds: r.pace.lasting(), MoveSeconds: r.owner.moveTimes.typical().Seconds(), Promised: r.promised})
+	pick, move := r.pick.PickFaster(request, endpoints.Run{Measured: r.pace.recent(), MoveSeconds: r.owner.moveTimes.typical().Seconds(), Promised: r.promised})
 	if pick == nil {
 		return false
 	}
@@ -65,6 +65,13 @@
 	return true
 }
 
+// mayMove reports whether the run has enough events for a decision. The first run of a text may
+// move after one section, which has few events if the engine has become much slower.
+func (r *itemRun) mayMove() bool {
+	_, measured := r.pace.measured()
+	return measured || r.promised == 0 && r.pace.sections > 0
+}
+
 // placementHere returns the data by which the text is placed, as it would end at its current
 // engine.
 func (r *itemRun) placementHere(now time.Time, load *schedule.Load, seconds float64, speeds endpoints.Speeds) endpoints.Placement {
--- a/internal/agentless/batchrun/moves_test.go
+++ b/internal/agentless/batchrun/moves_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"siskinloom.example/siskinloom/internal/agentless/batchrun"
 	"siskinloom.example/siskinloom/internal/agentless/dispatch"
 	"siskinloom.example/siskinloom/internal/agentless/mechanism"
 	"siskinloom.example/siskinloom/internal/deployment"
@@ -118,8 +119,10 @@
 			}
 		}
 	}
-	// submit submits a job with one text that its step has waited for, and waits for its result.
-	submit := func() {
+	// inFlight returns the requests that the process counts at the engines.
+	inFlight := func() map[string]endpoints.ProcessLoad { return p.owner.Directory.ProcessLoads("llm") }
+	// begin submits a job with one text that its step has waited for.
+	begin := func() {
 		p.run()
 		Eventually(func() int { return len(p.members.Live()) }).WithTimeout(eventuallyTimeout).Should(Equal(1))
 		now := time.Now()
@@ -127,7 +130,12 @@
 			ID: "j", Host: "h", Model: "m", MinVersion: 5, MaxAttempts: 3, Submitted: now.Add(-5 * time.Second), Due: now.Add(2500 * time.Millisecond), Expires: now.Add(time.Hour),
 			Items: []batch.Item{{ID: "i0", Path: "/items/x", Body: []byte("b"), Group: "g", LengthHint: 50 * pacedLength}},
 		})).To(Succeed())
+	}
+	// submit submits the job, waits for its result, and checks that no slot is held any more.
+	submit := func() {
+		begin()
 		Eventually(results(p, "j")).WithTimeout(eventuallyTimeout).Should(Equal(1))
+		Eventually(inFlight).WithTimeout(eventuallyTimeout).Should(BeEmpty())
 	}
 
 	It("is moved once, to a fast engine, and continues there", func() {
@@ -151,6 +159,14 @@
 		Expect(runs).To(HaveLen(1))
 	})
 
+	It("holds no slot if its job is ended during the move", func() {
+		start()
+		begin()
+		Eventually(func() int { runs, _ := llm.runsSoFar(); return len(runs) }).WithTimeout(eventuallyTimeout).Should(Equal(2))
+		Expect(p.frontend.End(context.Background(), "j")).To(Succeed())
+		Eventually(inFlight).WithTimeout(eventuallyTimeout).Should(BeEmpty())
+	})
+
 	It("goes on at another engine if the one that it is moved to refuses it", func() {
 		// The slot was taken by another process meanwhile.
 		start()
@@ -163,6 +179,35 @@
 	})
 })
 
+var _ = Describe("the pace of a run", func() {
+	const event = 50 * time.Millisecond
+	now := time.Unix(1000, 0)
+
+	// observe adds n events, each of which takes the given time, and returns the last result.
+	observe := func(p *batchrun.Pace, n int, took time.Duration) (m endpoints.Measured) {
+		for range n {
+			now = now.Add(took)
+			m = batchrun.ObserveEvent(p, now)
+		}
+		return m
+	}
+
+	It("is not slower for 600 ms of noise", func() {
+		// Most moves were caused by such noise, which says nothing about the engine.
+		p := &batchrun.Pace{}
+		observe(p, 40, event)
+		m := observe(p, 5, event*5/2)
+		Expect(m.Lasting).To(BeNumerically("~", event.Seconds(), 0.01))
+	})
+
+	It("shows a lasting slowdown within 2 s, and a severe one within 1 s", func() {
+		p := &batchrun.Pace{}
+		observe(p, 40, event)
+		Expect(observe(p, 3, 6*event).Latest).To(BeNumerically(">", 4*event.Seconds()))
+		Expect(observe(p, 4, 6*event).Lasting).To(BeNumerically(">", 4*event.Seconds()))
+	})
+})
+
 func without(ids []string, id string) []string {
 	return slices.DeleteFunc(slices.Clone(ids), func(one string) bool { return one == id })
 }
--- a/internal/agentless/batchrun/pace.go
+++ b/internal/agentless/batchrun/pace.go
@@ -1,14 +1,20 @@
 package batchrun
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"siskinloom.example/siskinloom/internal/policy/endpoints"
+)
 
 const (
-	// chunkSeconds and minChunkEvents are the least length of a section of a run whose mean
-	// pace is compared with others. Noise at an engine lasts 600 ms.
-	chunkSeconds, minChunkEvents = 0.4, 4
-	// lastingChunks is the number of sections in a row that must be slow before an engine counts
-	// as slower than it was: together twice as long as noise lasts.
-	lastingChunks = 3
+	// sectionSeconds and minSectionEvents are the least length of a section of a run, of which the
+	// mean pace is kept. Noise at an engine lasts 600 ms. With more events, an engine that has
+	// become six times slower would be noticed after seconds only.
+	sectionSeconds, minSectionEvents = 0.4, 2
+	// lastingSections is the number of sections in a row that must be slow before an engine
+	// counts as slower than it was: together twice as long as noise lasts.
+	lastingSections = 3
 )
 
 // pace measures the time between events, starting with the first one.
@@ -17,10 +23,10 @@
 	gaps        int
 	mean        float64 // running mean of the seconds between events
 
-	chunkStart time.Time
-	chunkGaps  int
-	chunks     int                    // number of complete sections
-	recent     [lastingChunks]float64 // mean seconds per event of the last sections
+	sectionStart time.Time
+	sectionGaps  int
+	sections     int                      // number of complete sections
+	means        [lastingSections]float64 // mean seconds per event of the last sections
 }
 
 // paceWeight is the weight of a new interval in the running mean.
@@ -28,13 +34,13 @@
 
 func (p *pace) observe(now time.Time) {
 	if p.first.IsZero() {
-		p.first, p.last, p.chunkStart = now, now, now
+		p.first, p.last, p.sectionStart = now, now, now
 		return
 	}
 	gap := now.Sub(p.last).Seconds()
 	p.last = now
 	p.gaps++
-	p.addToChunk(now)
+	p.addToSection(now)
 	if p.gaps == 1 {
 		p.mean = gap
 		return
@@ -49,22 +55,28 @@
 // speed.
 func (p *pace) measured() (float64, bool) { return p.mean, p.gaps >= minPaceEvents }
 
-func (p *pace) addToChunk(now time.Time) {
-	p.chunkGaps++
-	took := now.Sub(p.chunkStart).Seconds()
-	if p.chunkGaps < minChunkEvents || took < chunkSeconds {
+func (p *pace) addToSection(now time.Time) {
+	p.sectionGaps++
+	took := now.Sub(p.sectionStart).Seconds()
+	if p.sectionGaps < minSectionEvents || took < sectionSeconds {
 		return
 	}
-	p.recent[p.chunks%lastingChunks] = took / float64(p.chunkGaps)
-	p.chunks++
-	p.chunkStart, p.chunkGaps = now, 0
+	p.means[p.sections%lastingSections] = took / float64(p.sectionGaps)
+	p.sections++
+	p.sectionStart, p.sectionGaps = now, 0
 }
 
-// lasting returns the seconds per event that the run has not fallen below lately, or 0 if it is
-// too short to tell. Noise that is shorter than the sections compared does not raise it.
-func (p *pace) lasting() float64 {
-	if p.chunks < lastingChunks {
-		return 0
+// sectionEnded reports whether the last event ended a section.
+func (p *pace) sectionEnded() bool { return p.sections > 0 && p.sectionGaps == 0 }
+
+// recent returns what the run measured lately.
+func (p *pace) recent() endpoints.Measured {
+	m := endpoints.Measured{}
+	if p.sections > 0 {
+		m.Latest = p.means[(p.sections-1)%lastingSections]
+	}
+	if p.sections >= lastingSections {
+		m.Lasting = slices.Min(p.means[:])
 	}
-	return min(p.recent[0], p.recent[1], p.recent[2])
+	return m
 }
--- a/internal/agentless/directory/placement.go
+++ b/internal/agentless/directory/placement.go
@@ -28,9 +28,8 @@
 }
 
 // RunSeconds returns the expected seconds per unit of work of the request at the picked endpoint,
-// the speeds of the service, and whether the request may be moved by time. measured is what the
-// request itself measured lately; 0: unknown.
-func (p *Pick) RunSeconds(now time.Time, measured float64) (seconds float64, speeds endpoints.Speeds, byTime bool) {
+// the speeds of the service, and whether the request may be moved by time.
+func (p *Pick) RunSeconds(now time.Time, measured endpoints.Measured) (seconds float64, speeds endpoints.Speeds, byTime bool) {
 	p.shard.mu.Lock()
 	defer p.shard.mu.Unlock()
 	speeds, byTime = p.shard.set.UnevenSpeeds(now)
--- a/internal/lab/steps/steps.go
+++ b/internal/lab/steps/steps.go
@@ -430,7 +430,7 @@
 func (w *world) moveByTime(r *run) bool {
 	speeds, _ := w.set.UnevenSpeeds(w.now)
 	request := endpoints.Request{Now: w.now, Model: model, MinVersion: 1, Tried: w.loadingEngines(r.job)}
-	view := schedule.Job{Age: w.now.Sub(r.job.submitted).Seconds(), EventSeconds: speeds.Fast, TypicalSeconds: w.set.RunSeconds(r.engine, 0)}
+	view := schedule.Job{Age: w.now.Sub(r.job.submitted).Seconds(), EventSeconds: speeds.Fast, TypicalSeconds: w.set.RunSeconds(r.engine, endpoints.Measured{})}
 	remaining := r.job.RemainingWork(r.item)
 	spare := r.job.Spare(r.item)
 	request.Placement = endpoints.Placement{RemainingWork: remaining, Weight: w.totalLoad.Weight(&view, remaining, spare), Critical: w.totalLoad.WaitsFor(&view, remaining, spare)}
--- a/internal/policy/endpoints/endpoints.go
+++ b/internal/policy/endpoints/endpoints.go
@@ -2,6 +2,9 @@
 // endpoint from the platform's list and from the outcomes of this process's own
 // requests. Filters exclude endpoints that may not serve the request, and the rest
 // are compared by a score. The package does no I/O and reads no clock.
+//
+// The package decides where a request is sent and, where speeds are uneven, whether and where a
+// running request is moved. Package schedule decides how much the end of a request matters.
 package endpoints
 
 import (
--- a/internal/policy/endpoints/move.go
+++ b/internal/policy/endpoints/move.go
@@ -12,11 +12,20 @@
 	// changedFactor is the factor by which an endpoint must have become slower since a request
 	// was moved to it before the request is moved again.
 	changedFactor = 1.3
+	// severeSlowdown is the factor from which the latest measurement of a request counts alone.
+	// Noise makes units of work 2.5 times slower.
+	severeSlowdown = 4.0
 )
 
+// Measured holds the seconds per unit of work that a request measured itself; 0: unknown.
+type Measured struct {
+	Lasting float64 // not undercut for longer than noise lasts
+	Latest  float64 // of the last section of the request
+}
+
 // Run is a running request that may be moved.
 type Run struct {
-	UnitSeconds float64 // seconds per unit of work that the request itself measured; 0: unknown
+	Measured
 	MoveSeconds float64 // price of a move, in seconds
 	Promised    float64 // seconds per unit of work that were expected when it was moved here; 0: it was not moved
 }
@@ -31,10 +40,13 @@
 // RunSeconds returns the expected seconds per unit of work of a request that runs at the
 // endpoint. The request's own measurement counts if it is slower by more than noise: the
 // endpoint may have slowed down since its speed was learned.
-func (s *Set) RunSeconds(e *State, measured float64) float64 {
+func (s *Set) RunSeconds(e *State, m Measured) float64 {
 	expected := s.UnitSeconds(e, float64(e.running()-1))
-	if measured > minSlowdown*expected {
-		return measured
+	switch {
+	case m.Latest > severeSlowdown*expected:
+		return m.Latest
+	case m.Lasting > minSlowdown*expected:
+		return m.Lasting
 	}
 	return expected
 }
@@ -48,7 +60,7 @@
 		return Move{}, false
 	}
 	r.RequireFreeSlot = true
-	now := s.RunSeconds(current, run.UnitSeconds)
+	now := s.RunSeconds(current, run.Measured)
 	slower := run.Promised == 0 || now >= changedFactor*run.Promised
 	best, least := Move{}, 0.0
 	for _, e := range s.list {
--- a/internal/policy/endpoints/placement_test.go
+++ b/internal/policy/endpoints/placement_test.go
@@ -149,7 +149,14 @@
 			moved.Promised = s.UnitSeconds(fast, slots-1)
 			_, found = s.PickFaster(request(critical), fast, moved)
 			Expect(found).To(BeFalse(), "nothing has changed since the move")
-			moved.UnitSeconds = 6 * fastSeconds
+			moved.Latest = 2.5 * moved.Promised
+			_, found = s.PickFaster(request(critical), fast, moved)
+			Expect(found).To(BeFalse(), "noise")
+			moved.Lasting = 2.5 * moved.Promised
+			again, found := s.PickFaster(request(critical), fast, moved)
+			Expect(found).To(BeTrue(), "it lasts")
+			again.To.InFlight--
+			moved.Lasting, moved.Latest = 0, 6*moved.Promised
 			_, found = s.PickFaster(request(critical), fast, moved)
 			Expect(found).To(BeTrue(), "the endpoint has become six times slower")
 		})
--- a/internal/policy/schedule/schedule.go
+++ b/internal/policy/schedule/schedule.go
@@ -8,6 +8,10 @@
 // other texts complete in a fraction of that time. The duration of a step is therefore the
 // number of events of its longest texts times the time per event of their engines; the
 // other items only need to stay out of the way.
+//
+// Where engines are of unequal speed, a step of texts of up to 150 events ends in time only if
+// the longest ones run at fast engines. This package then decides which texts a step waits for;
+// package endpoints decides where they run and whether they move.
 package schedule
 
 import "math"
