--- a/internal/agentless/batchrun/export_test.go
+++ b/internal/agentless/batchrun/export_test.go
@@ -7,6 +7,7 @@
 
 	"siskinloom.example/siskinloom/internal/kv"
 	"siskinloom.example/siskinloom/internal/policy/batch"
+	"siskinloom.example/siskinloom/internal/policy/endpoints"
 )
 
 // MarkedUnresponsive reports whether a process was found unresponsive.
@@ -132,3 +133,12 @@
 
 // CheckSpeeds logs and counts changes of speeds.
 func CheckSpeeds(o *Owner, now time.Time) { o.checkSpeeds(now) }
+
+// Pace measures the time between a run's events.
+type Pace = pace
+
+// ObservePaceEvent records an event of a run, and returns what the run measured lately.
+func ObservePaceEvent(p *Pace, now time.Time) endpoints.Measured {
+	p.observe(now)
+	return p.recent()
+}
