Quarantine: spare the last endpoints of a service, and tell apart requests that ran at the same ends

Cause: a request that crashes its endpoints took all three endpoints of a small service within .34 s, since it was retried at once and the limit is three ends whatever the size of the service. A harmless scoring call that ran beside it at all three was quarantined with it: each end counts for every request that ran at it.

Change: poison.Registry.Decide decides where one more copy may run. A suspect is not sent to the last healthy endpoint of several; its copies run one at a time, at one endpoint that is the same in all processes. Requests that ran at exactly the same ends are not quarantined until one of them ends an endpoint alone; they run in turns of a second. Ends at which a quarantined request ran no longer count against others. A service with one endpoint loses it twice at most. Before the first end, copies of one request in a process leave one endpoint of a service of up to three. The gate consults the decision before each attempt and waits up to 150 ms for reports about the same end. Mechanism spare-endpoints, events 2540 and 2541, metrics quarantine.suspects and quarantine.held.

--- a/internal/agentless/batchrun/runs.go
+++ b/internal/agentless/batchrun/runs.go
@@ -95,10 +95,6 @@
 			return
 		}
 		scorer := j.job.Spec.Items[i].Scorer
-		if !o.Quarantine.Admits(scorerFingerprint(scorer), 0) {
-			o.scored(j, now, i, batch.ScoreQuarantined, "", 0)
-			continue
-		}
 		route := table.Match(scorer.Host, scorer.Path)
 		if route == nil {
 			o.scored(j, now, i, batch.ScoreRetryable, "", 0)
@@ -108,16 +104,36 @@
 		if last != "" {
 			request.Tried = []string{last}
 		}
-		pick := o.Directory.Pick(routes.SelectService(route, scorer.ID), request)
+		service := routes.SelectService(route, scorer.ID)
+		admission := o.Quarantine.Admit(quarantine.Copy{Fingerprint: scorerFingerprint(scorer), Service: service})
+		if !admission.Admitted {
+			o.scored(j, now, i, heldScore(admission), "", route.MaxAttempts)
+			continue
+		}
+		if request.Only = admission.Only; len(request.Only) == 1 {
+			request.Tried = nil // the only endpoint that may run a suspect
+		}
+		pick := o.Directory.Pick(service, request)
 		if pick == nil {
+			admission.Ended()
 			o.scored(j, now, i, batch.ScoreRetryable, "", route.MaxAttempts)
 			return
 		}
 		j.mu.Lock()
 		j.job.SetScoringEndpoint(i, pick.ID)
 		j.mu.Unlock()
-		o.runs.Go(func() error { o.score(j, i, pick, route.MaxAttempts); return nil })
+		admission.Started(pick.ID)
+		o.runs.Go(func() error { defer admission.Ended(); o.score(j, i, pick, route.MaxAttempts); return nil })
+	}
+}
+
+// heldScore returns the outcome of a scoring call that the quarantine doesn't admit: a suspect may
+// be called as soon as an endpoint is back, a quarantined call not for a long time.
+func heldScore(a *quarantine.Admission) batch.ScoreOutcome {
+	if a.Quarantined {
+		return batch.ScoreQuarantined
 	}
+	return batch.ScoreRetryable
 }
 
 func (o *Owner) scored(j *ownedJob, now time.Time, i int, scoreOutcome batch.ScoreOutcome, score string, attempts int) {
--- a/internal/agentless/batchrun/scheduling.go
+++ b/internal/agentless/batchrun/scheduling.go
@@ -5,6 +5,7 @@
 
 	"siskinloom.example/siskinloom/internal/agentless/directory"
 	"siskinloom.example/siskinloom/internal/agentless/mechanism"
+	"siskinloom.example/siskinloom/internal/agentless/quarantine"
 	"siskinloom.example/siskinloom/internal/policy/batch"
 	"siskinloom.example/siskinloom/internal/policy/endpoints"
 	"siskinloom.example/siskinloom/internal/policy/routes"
@@ -117,10 +118,6 @@
 	j.mu.Lock()
 	start := j.job.StartRun(c.Index)
 	j.mu.Unlock()
-	if !r.owner.Quarantine.Admits(itemFingerprint(j.job.Spec, c.Index), 0) {
-		j.postpone(c.Index, r.now.Add(quarantineDelay))
-		return
-	}
 	item := &j.job.Spec.Items[c.Index]
 	route := r.table.Match(j.job.Spec.Host, item.Path)
 	if route == nil {
@@ -128,10 +125,17 @@
 		return
 	}
 	service := routes.SelectService(route, item.ID)
+	admission := r.owner.Quarantine.Admit(quarantine.Copy{Fingerprint: itemFingerprint(j.job.Spec, c.Index), Service: service, Model: j.job.Spec.Model})
+	if !admission.Admitted {
+		j.postpone(c.Index, r.now.Add(max(noEngineDelay, min(quarantineDelay, admission.RetryAfter))))
+		return
+	}
 	request := engineRequest(j.job.Spec, start, r.now)
+	request.Only = admission.Only
 	request.Placement = r.placement(j, c, service)
 	pick := r.owner.pickEngine(service, start, request)
 	if pick == nil {
+		admission.Ended()
 		j.postpone(c.Index, r.now.Add(noEngineDelay))
 		j.blocked = true
 		return
@@ -139,7 +143,8 @@
 	j.mu.Lock()
 	j.job.RunPlaced(r.now, c.Index)
 	j.mu.Unlock()
-	r.owner.runs.Go(func() error { r.owner.run(j.ownedJob, start, pick); return nil })
+	admission.Started(pick.ID)
+	r.owner.runs.Go(func() error { defer admission.Ended(); r.owner.run(j.ownedJob, start, pick); return nil })
 }
 
 // placement returns the data by which the run is placed among other requests.
--- a/internal/agentless/gate/execution.go
+++ b/internal/agentless/gate/execution.go
@@ -41,7 +41,8 @@
 	service string
 	results chan attempt
 
-	fingerprint uint64 // of the request's content
+	fingerprint uint64        // of the request's content
+	heldBack    time.Duration // delay that the quarantine asks for, if it didn't admit the last attempt
 
 	tried       []string  // IDs of the endpoints that the request was sent to
 	inFlight    int       // attempts without a result so far
@@ -70,7 +71,7 @@
 	ctx, cancel := context.WithCancel(ctx) // cancels the other attempts once there is an answer
 	defer cancel()
 	if !e.start(ctx) {
-		return e.gate.refusal(e.service)
+		return e.refusal()
 	}
 	hedge := time.NewTimer(e.hedgeDelay())
 	defer hedge.Stop()
@@ -101,10 +102,25 @@
 	case e.mayHaveRun:
 		return Outcome{End: Unknown}
 	default:
-		return e.gate.refusal(e.service)
+		return e.refusal()
 	}
 }
 
+// refusal returns the outcome of a request that certainly did not run.
+func (e *execution) refusal() Outcome {
+	if e.heldBack > 0 {
+		return Outcome{End: Quarantined, RetryAfter: e.heldBack}
+	}
+	return e.gate.refusal(e.service)
+}
+
+// admit asks the quarantine whether and where one more attempt may be made.
+func (e *execution) admit(ctx context.Context) *quarantine.Admission {
+	a := e.gate.Quarantine.AdmitSettled(ctx, quarantine.Copy{Fingerprint: e.fingerprint, Service: e.service, Model: e.request.Model, Tried: e.tried, InFlight: e.inFlight})
+	e.heldBack = a.RetryAfter
+	return a
+}
+
 // startedAt returns when an endpoint started to run the request, or the zero time if none did.
 // If no endpoint answered, but one may have run the request, the endpoint is assumed to have
 // started when the first attempt was sent.
@@ -148,17 +164,23 @@
 // start makes one more attempt and returns whether it did: the route must allow another
 // attempt, time must remain and an endpoint must be available.
 func (e *execution) start(ctx context.Context) bool {
-	if len(e.tried) >= e.route.MaxAttempts || !e.gate.Quarantine.Admits(e.fingerprint, e.inFlight) {
+	if len(e.tried) >= e.route.MaxAttempts {
 		return false
 	}
 	remaining := e.request.remaining(e.route, time.Now())
 	if remaining <= 0 {
 		return false
 	}
-	pick := e.gate.pickEndpoint(e.service, e.request, e.tried)
+	admission := e.admit(ctx)
+	if !admission.Admitted {
+		return false
+	}
+	pick := e.gate.pickEndpoint(e.service, e.request, e.tried, admission.Only)
 	if pick == nil {
+		admission.Ended()
 		return false
 	}
+	admission.Started(pick.ID)
 	e.tried = append(e.tried, pick.ID)
 	e.inFlight++
 	now := time.Now()
@@ -167,6 +189,7 @@
 	}
 	go func() {
 		a := e.attempt(ctx, pick, remaining)
+		admission.Ended()
 		a.sent = now
 		e.results <- a
 	}()
--- a/internal/agentless/gate/gate.go
+++ b/internal/agentless/gate/gate.go
@@ -277,8 +277,8 @@
 func NotReadyOutcome() Outcome { return Outcome{End: NotReady, RetryAfter: notReadyRetryAfter} }
 
 // pickEndpoint picks an endpoint for the next attempt, or returns nil if none is available.
-func (g *Gate) pickEndpoint(service string, r *Request, tried []string) *directory.Pick {
-	return g.directory.Pick(service, endpoints.Request{Now: time.Now(), Tried: tried, Model: r.Model})
+func (g *Gate) pickEndpoint(service string, r *Request, tried, only []string) *directory.Pick {
+	return g.directory.Pick(service, endpoints.Request{Now: time.Now(), Tried: tried, Only: only, Model: r.Model})
 }
 
 // endpointRequest returns the request as it is sent to an endpoint.
--- a/internal/agentless/gate/stream.go
+++ b/internal/agentless/gate/stream.go
@@ -71,13 +71,20 @@
 // runAttempts has endpoints serve the stream, one after another, until it is complete or no
 // attempt remains.
 func (s *stream) runAttempts(ctx context.Context) Outcome {
-	for len(s.tried) < s.route.MaxAttempts && ctx.Err() == nil && s.gate.Quarantine.Admits(s.fingerprint, 0) {
-		pick := s.gate.pickEndpoint(s.service, s.request, s.tried)
+	for len(s.tried) < s.route.MaxAttempts && ctx.Err() == nil {
+		admission := s.admit(ctx)
+		if !admission.Admitted {
+			break
+		}
+		pick := s.gate.pickEndpoint(s.service, s.request, s.tried, admission.Only)
 		if pick == nil {
+			admission.Ended()
 			break
 		}
 		s.tried = append(s.tried, pick.ID)
+		admission.Started(pick.ID)
 		outcome, retry := s.attempt(ctx, pick)
+		admission.Ended()
 		if !retry {
 			return outcome
 		}
--- a/internal/agentless/mechanism/mechanism.go
+++ b/internal/agentless/mechanism/mechanism.go
@@ -65,6 +65,9 @@
 	StandbyRuns Mechanism = "standby-runs"
 	// Relay reaches the store through other processes.
 	Relay Mechanism = "relay"
+	// SpareEndpoints keeps requests under which an endpoint ended off the last healthy endpoints
+	// of their service.
+	SpareEndpoints Mechanism = "spare-endpoints"
 )
 
 // All returns every mechanism, sorted.
@@ -72,6 +75,7 @@
 	all := []Mechanism{
 		Hedges, SetAside, OwnPreference, NearFirst, MoveSlow, MoveCrowded, LongestFirst, SpareLast, ByDelay, KeepNarrow, ShareLoad,
 		LearnLengths, WholeSteps, TextJournal, TextCopies, CacheResults, ReadNear, AlternateLoads, TellLoads, TakeOver, StandbyRuns, Relay,
+		SpareEndpoints,
 	}
 	sort.Slice(all, func(i, j int) bool { return all[i] < all[j] })
 	return all
--- a/internal/agentless/quarantine/evidence.go
+++ b/internal/agentless/quarantine/evidence.go
@@ -71,12 +71,22 @@
 
 // EndpointGone records that an endpoint is no longer listed.
 func (q *Quarantine) EndpointGone(id string) {
+	if q != nil && q.Directory != nil {
+		q.mu.Lock()
+		q.fleet.gone(time.Now(), id, q.Directory.ServiceOf(id))
+		q.mu.Unlock()
+	}
 	q.endpointsEnded("no longer listed", func(key incarnation, _ lostRequest) bool { return key.id == id })
 }
 
 // EndpointListed records a listed endpoint. Another incarnation with the ID or the address of a
 // known endpoint has replaced it.
 func (q *Quarantine) EndpointListed(e *deployment.Endpoint) {
+	if q != nil {
+		q.mu.Lock()
+		q.fleet.listed(time.Now(), e)
+		q.mu.Unlock()
+	}
 	q.endpointsEnded("replaced", func(key incarnation, lost lostRequest) bool {
 		return key.id == e.ID && key.startedAtMillis != e.StartedAtMillis || key.id != e.ID && lost.endpoint.Address == e.Address
 	})
@@ -116,6 +126,7 @@
 // report reports that an endpoint ended while it ran a request, unless the request was answered
 // a moment ago. mu must be held.
 func (q *Quarantine) report(lost lostRequest, why string) {
+	q.fleet.ended(lost.at, &lost.endpoint)
 	if q.registry.RecentlyAnswered(lost.at, requestID(lost.request.Fingerprint)) {
 		return
 	}
--- a/internal/agentless/quarantine/quarantine.go
+++ b/internal/agentless/quarantine/quarantine.go
@@ -12,6 +12,9 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"siskinloom.example/siskinloom/internal/agentless/directory"
+	"siskinloom.example/siskinloom/internal/agentless/mechanism"
+	"siskinloom.example/siskinloom/internal/deployment"
 	"siskinloom.example/siskinloom/internal/events"
 	"siskinloom.example/siskinloom/internal/kv"
 	"siskinloom.example/siskinloom/internal/policy/poison"
@@ -29,6 +32,11 @@
 //
 // One lock guards the whole registry, since each crash may decide about several requests.
 type Quarantine struct {
+	Switches *mechanism.Switches // set before first use; may be nil
+	// Directory lists the endpoints of services; set before first use. If it is nil, the number of
+	// ended endpoints alone decides.
+	Directory *directory.Directory
+
 	self   string
 	store  kv.TransactionalStore
 	prober Prober
@@ -36,11 +44,16 @@
 
 	reported metrics.Counter
 	blocked  metrics.Gauge
+	suspects metrics.Gauge
+	held     metrics.Counter
 
 	mu       sync.Mutex
 	registry *poison.Registry
 	reports  map[uint64]reportSet // by fingerprint
 	lost     map[incarnation][]lostRequest
+	copies   poison.Copies        // that this process runs
+	heldLogs map[uint64]time.Time // when a held-back request was last logged, by fingerprint
+	fleet    *fleet
 	wake     chan struct{} // notifies Run of what is to be written
 }
 
@@ -69,8 +82,13 @@
 		self: self, store: store, prober: prober, log: log,
 		reported: metrics.GetOrRegisterCounter("quarantine.reports", registry),
 		blocked:  metrics.GetOrRegisterGauge("quarantine.requests", registry),
+		suspects: metrics.GetOrRegisterGauge("quarantine.suspects", registry),
+		held:     metrics.GetOrRegisterCounter("quarantine.held", registry),
 		registry: poison.New(poison.SharedConfig(), self),
 		reports:  map[uint64]reportSet{},
+		copies:   poison.Copies{},
+		heldLogs: map[uint64]time.Time{},
+		fleet:    newFleet(),
 		lost:     map[incarnation][]lostRequest{},
 		wake:     make(chan struct{}, 1),
 	}
@@ -130,7 +148,10 @@
 
 // count adds a report to the registry and logs the start of a quarantine. mu must be held.
 func (q *Quarantine) count(r *Report) {
+	q.applySwitch()
+	q.fleet.ended(r.at(), &deployment.Endpoint{ID: r.Endpoint, Service: r.Service, StartedAtMillis: r.StartedAtMillis})
 	q.registry.RecordCrash(r.at(), r.suspicion())
+	q.logReleased()
 	if len(q.registry.TakeQuarantined()) == 0 {
 		return
 	}
@@ -140,6 +161,15 @@
 	})
 }
 
+// logReleased logs the requests whose quarantine ended because others ran at the same ends. mu must
+// be held.
+func (q *Quarantine) logReleased() {
+	for _, id := range q.registry.TakeReleased() {
+		events.QuarantineContested.Log(q.log, logrus.Fields{"fingerprint": poison.FormatFingerprint(id.Fingerprint), "endpoints": q.endpointsOf(id.Fingerprint)})
+		q.countBlocked()
+	}
+}
+
 // add adds a report that isn't known yet. mu must be held.
 func (q *Quarantine) add(key string, r *knownReport) {
 	set := q.reports[r.Fingerprint]
@@ -148,6 +178,7 @@
 		q.reports[r.Fingerprint] = set
 	}
 	set[key] = r
+	q.suspects.Update(int64(len(q.reports)))
 	q.count(&r.Report)
 }
 
@@ -157,6 +188,7 @@
 	delete(set, key)
 	if len(set) == 0 {
 		delete(q.reports, fingerprint)
+		q.suspects.Update(int64(len(q.reports)))
 	}
 }
 
--- /dev/null
+++ b/internal/agentless/quarantine/spare.go
@@ -0,0 +1,237 @@
+package quarantine
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"siskinloom.example/siskinloom/internal/agentless/mechanism"
+	"siskinloom.example/siskinloom/internal/deployment"
+	"siskinloom.example/siskinloom/internal/events"
+	"siskinloom.example/siskinloom/internal/policy/poison"
+)
+
+const (
+	// minHoldDelay is the least Retry-After of a copy that is held back.
+	minHoldDelay = 50 * time.Millisecond
+	// maxTurnJitter bounds the jitter of a Retry-After that names the start of a turn, so that the
+	// caller returns before the turn's last start.
+	maxTurnJitter = 300 * time.Millisecond
+	// settleInterval is how often a decision that may change is looked at again.
+	settleInterval = 10 * time.Millisecond
+	// holdLogInterval is the least time between two log lines about one held-back request.
+	holdLogInterval = 5 * time.Second
+	// maxHoldLogs limits the requests for which the time of the last line is kept.
+	maxHoldLogs = 1024
+)
+
+// Copy is one copy of a request as it may be sent: its content, and what its endpoint needs.
+type Copy struct {
+	Fingerprint uint64
+	Service     string
+	Model       string   // empty: no model is needed
+	Tried       []string // IDs of endpoints to which the request was sent before
+	InFlight    int      // other copies that the same request has in flight
+}
+
+// Admission is the answer to Admit. If the copy is admitted, Started must be called when it is sent,
+// and Ended when it has ended or is not sent.
+type Admission struct {
+	Admitted bool
+	Only     []string // IDs of the endpoints that may run the copy; nil: any
+	// If the copy is not admitted:
+	RetryAfter  time.Duration // when the request may be sent again
+	Quarantined bool          // no copy may be sent before; otherwise one may once an endpoint is back
+
+	quarantine  *Quarantine
+	fingerprint uint64
+	endpoint    string // that runs the copy; empty: not chosen yet
+	reserved    bool   // the copy is counted as one that runs
+}
+
+// AdmitSettled is Admit for a caller that waits: just after an end, a refusal may depend on reports of
+// other processes that are on their way, or on copies that are about to end. It waits for these, if
+// the request has no other copy in flight.
+func (q *Quarantine) AdmitSettled(ctx context.Context, c Copy) *Admission {
+	if q == nil || !q.sparesEndpoints() || c.InFlight > 0 {
+		return q.Admit(c)
+	}
+	decision := q.decideTried(c)
+	for settled := decision.Settled; !decision.Admitted && time.Now().Before(settled); decision = q.decideTried(c) {
+		select {
+		case <-ctx.Done():
+			return q.admission(c, decision)
+		case <-time.After(settleInterval):
+		}
+	}
+	return q.admission(c, decision)
+}
+
+// Admit decides whether one more copy of a request may be sent now, and where. It may take
+// probeTimeout if the request was sent to a suspect's only endpoint already.
+func (q *Quarantine) Admit(c Copy) *Admission {
+	if q == nil {
+		return &Admission{Admitted: true}
+	}
+	if !q.sparesEndpoints() {
+		return q.admitByLimit(c)
+	}
+	return q.admission(c, q.decideTried(c))
+}
+
+// decideTried asks the registry. If the only endpoint that may run a suspect didn't run it, it
+// finds out whether that one has ended.
+func (q *Quarantine) decideTried(c Copy) poison.Decision {
+	decision := q.decide(c)
+	for len(decision.Only) == 1 && slices.Contains(c.Tried, decision.Only[0]) {
+		if !q.probeTried(c.Service, decision.Only[0]) {
+			q.release(c.Fingerprint, "")
+			return poison.Decision{Reason: "its endpoint was tried"}
+		}
+		q.release(c.Fingerprint, "")
+		decision = q.decide(c)
+	}
+	return decision
+}
+
+// admission returns the admission by a decision.
+func (q *Quarantine) admission(c Copy, decision poison.Decision) *Admission {
+	if !decision.Admitted {
+		return &Admission{RetryAfter: q.holdBack(c, decision), Quarantined: decision.Quarantined}
+	}
+	return &Admission{Admitted: true, Only: decision.Only, quarantine: q, fingerprint: c.Fingerprint, reserved: true}
+}
+
+// sparesEndpoints reports whether the mechanism is in force.
+func (q *Quarantine) sparesEndpoints() bool {
+	return q.Directory != nil && q.Switches.On(mechanism.SpareEndpoints)
+}
+
+// admitByLimit decides by the number of ended endpoints alone.
+func (q *Quarantine) admitByLimit(c Copy) *Admission {
+	if q.Admits(c.Fingerprint, c.InFlight) {
+		return &Admission{Admitted: true}
+	}
+	a := &Admission{}
+	if until := q.BlockedUntil(c.Fingerprint); !until.IsZero() {
+		a.RetryAfter, a.Quarantined = time.Until(until), true
+	}
+	return a
+}
+
+// decide asks the registry, and counts an admitted copy as one that runs.
+func (q *Quarantine) decide(c Copy) poison.Decision {
+	now := time.Now()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if c.InFlight >= poison.SharedConfig().UnattributedCrashes {
+		return poison.Decision{Reason: "enough copies run"}
+	}
+	q.applySwitch()
+	view := func() poison.Service { return q.view(now, c.Service, c.Model) }
+	decision := q.registry.Decide(now, requestID(c.Fingerprint), view, q.copies)
+	if decision.Admitted {
+		q.copies.Add(c.Fingerprint, "")
+	}
+	if quarantined := q.registry.TakeQuarantined(); len(quarantined) > 0 {
+		q.countBlocked()
+		events.RequestQuarantined.Log(q.log, logrus.Fields{"fingerprint": poison.FormatFingerprint(c.Fingerprint), "service": c.Service, "endpoints": q.endpointsOf(c.Fingerprint)})
+	}
+	return decision
+}
+
+// applySwitch passes the state of the mechanism to the registry. mu must be held.
+func (q *Quarantine) applySwitch() {
+	q.registry.SetAttribution(q.Switches.On(mechanism.SpareEndpoints))
+}
+
+// probeTried finds out whether an endpoint that didn't run the request has ended.
+func (q *Quarantine) probeTried(service, id string) bool {
+	for _, e := range q.Directory.List(service) {
+		if e.ID != id {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+		defer cancel()
+		if !q.prober.RefusesConnections(ctx, e.Address) {
+			return false
+		}
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		q.fleet.ended(time.Now(), &e.Endpoint)
+		return true
+	}
+	return true // no longer listed
+}
+
+// holdBack counts and logs a copy that is not sent, and returns when the request may be sent again.
+func (q *Quarantine) holdBack(c Copy, d poison.Decision) time.Duration {
+	now := time.Now()
+	if d.Quarantined {
+		return d.Until.Sub(now)
+	}
+	q.held.Inc(1)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	wait := d.Until.Sub(now)
+	jitter := maxTurnJitter
+	if d.Until.IsZero() {
+		wait = max(minHoldDelay, q.fleet.untilBack(now, c.Service))
+		jitter = wait / 2
+	}
+	wait += rand.N(max(minHoldDelay, min(jitter, wait/2)))
+	if now.Sub(q.heldLogs[c.Fingerprint]) < holdLogInterval {
+		return wait
+	}
+	if len(q.heldLogs) >= maxHoldLogs {
+		clear(q.heldLogs)
+	}
+	q.heldLogs[c.Fingerprint] = now
+	events.SuspectHeldBack.Log(q.log, logrus.Fields{
+		"fingerprint": poison.FormatFingerprint(c.Fingerprint), "service": c.Service, "reason": d.Reason, "retry_after_ms": wait.Milliseconds(),
+	})
+	return wait
+}
+
+// Started records the endpoint that a copy is sent to.
+func (a *Admission) Started(endpoint string) {
+	if !a.reserved {
+		return
+	}
+	q := a.quarantine
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.copies.Remove(a.fingerprint, a.endpoint)
+	a.endpoint = endpoint
+	q.copies.Add(a.fingerprint, a.endpoint)
+}
+
+// Ended records that a copy ended or was not sent.
+func (a *Admission) Ended() {
+	if !a.reserved {
+		return
+	}
+	a.reserved = false
+	a.quarantine.release(a.fingerprint, a.endpoint)
+}
+
+// release removes a copy.
+func (q *Quarantine) release(fingerprint uint64, endpoint string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.copies.Remove(fingerprint, endpoint)
+}
+
+// view returns the endpoints of a service that may serve a model. mu must be held.
+func (q *Quarantine) view(now time.Time, service, model string) poison.Service {
+	listed := []deployment.Endpoint{}
+	for _, e := range q.Directory.List(service) {
+		if _, serves := e.Versions[model]; !e.Leaving && (model == "" || serves) {
+			listed = append(listed, e.Endpoint)
+		}
+	}
+	return q.fleet.view(now, service, listed)
+}
--- a/internal/events/fleet.go
+++ b/internal/events/fleet.go
@@ -95,3 +95,9 @@
 	UsageNotSent     = define(2404, logrus.WarnLevel, "usage counts could not be sent to a process")
 	UsageUnreadable  = define(2405, logrus.ErrorLevel, "stored usage report cannot be read")
 )
+
+// Events of requests that are suspected to end endpoints: 2540 to 2549.
+var (
+	SuspectHeldBack     = define(2540, logrus.WarnLevel, "request under which an endpoint ended is held back")
+	QuarantineContested = define(2541, logrus.InfoLevel, "request is no longer quarantined; others ran at the same ends of endpoints")
+)
--- a/internal/lab/quarantine/model.go
+++ b/internal/lab/quarantine/model.go
@@ -6,6 +6,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"siskinloom.example/siskinloom/internal/lab/timeline"
@@ -26,6 +27,8 @@
 	// restartMin and restartSpread are the time that an endpoint takes to be back.
 	restartMin    = 2 * time.Second
 	restartSpread = 3 * time.Second
+	// settleInterval is how often an entry looks at a decision again that may change.
+	settleInterval = 10 * time.Millisecond
 	// poisonRequest is the fingerprint of the request that crashes endpoints.
 	poisonRequest = 1
 )
@@ -40,6 +43,8 @@
 	massEndAt          time.Duration // when half of the endpoints end at once; 0: never
 	poison             bool          // whether the poison request is sent
 	unlimited          bool          // every request is admitted
+	spare              bool          // suspects are kept off the last healthy endpoints
+	scoresPerSecond    float64       // scoring calls, each repeated until it is answered
 }
 
 // popularRequests is the number of contents that many callers send.
@@ -50,6 +55,7 @@
 	id       int
 	run      int64 // incarnation
 	up       bool
+	poisoned bool // it is down because of the poison request
 	attempts map[*attempt]bool
 }
 
@@ -57,6 +63,9 @@
 type entry struct {
 	registry *poison.Registry
 	reports  map[uint64][]wire.Suspicion // that count, by fingerprint
+	listed   map[int]int64               // incarnations that it knows, by endpoint
+	ended    map[int]int64               // the newest incarnation that it knows to have ended, by endpoint
+	copies   poison.Copies               // that it runs
 }
 
 // attempt is a request at one endpoint.
@@ -73,6 +82,9 @@
 	retries     int // that its caller has left
 	tried       int
 	inFlight    int
+	scoring     bool      // repeated until it is answered
+	refused     bool      // a scoring call that was refused before
+	settled     time.Time // until then, its entry waits for the decision to change
 	done        bool
 }
 
@@ -84,13 +96,16 @@
 	list      []*endpoint
 	processes []*entry
 
-	innocent     int       // innocent requests of callers
-	refused      int       // tries of theirs that were refused as quarantined
-	poisonEnds   int       // endpoints that ended under the poison request
-	third        time.Time // when the third one did
-	lateRuns     int       // runs of the poison request later than contactTime after that
-	nextInnocent uint64
-	tries        int
+	innocent       int       // innocent requests of callers
+	refused        int       // tries of theirs that were refused as quarantined, or held back while an endpoint was up; of a scoring call, the first
+	unserved       int       // innocent requests whose last try brought no answer
+	blocked        int       // refusals of innocent requests for the duration of a quarantine
+	down, mostDown int       // endpoints that are down because of the poison request, now and at most
+	poisonEnds     int       // endpoints that ended under the poison request
+	third          time.Time // when the third one did
+	lateRuns       int       // runs of the poison request later than contactTime after that
+	nextInnocent   uint64
+	tries          int
 }
 
 func newModel(s scenario, seed uint64) *model {
@@ -101,7 +116,7 @@
 		m.scheduleEnd(e)
 	}
 	for range s.entries {
-		m.processes = append(m.processes, &entry{registry: poison.New(poison.SharedConfig(), ""), reports: map[uint64][]wire.Suspicion{}})
+		m.processes = append(m.processes, m.newEntry())
 	}
 	return m
 }
@@ -109,6 +124,9 @@
 // run plays the schedule.
 func (m *model) run() {
 	m.sendInnocent()
+	if m.scoresPerSecond > 0 {
+		m.sendScore()
+	}
 	if m.poison {
 		m.t.After(m.between(time.Second, 3*time.Second), m.sendPoison)
 	}
@@ -146,24 +164,32 @@
 // send sends a caller's request to a random entry.
 func (m *model) send(fingerprint uint64, retries int) {
 	m.tries++
-	t := &try{number: m.tries, entry: m.processes[m.random.IntN(len(m.processes))], fingerprint: fingerprint, retries: retries}
-	if !m.admits(t) {
-		m.refuse(t)
-		return
-	}
-	m.start(t)
-	m.hedge(t)
+	m.try(&try{number: m.tries, entry: m.processes[m.random.IntN(len(m.processes))], fingerprint: fingerprint, retries: retries})
 }
 
-// admits reports whether the entry may send one more copy of the request.
-func (m *model) admits(t *try) bool {
-	return m.unlimited || t.entry.registry.Admits(m.t.Now(), poison.ID{Fingerprint: t.fingerprint}, t.inFlight)
+// try has the entry serve a request, unless the quarantine doesn't admit it.
+func (m *model) try(t *try) {
+	d := m.decide(t)
+	switch {
+	case d.Admitted:
+		t.settled = time.Time{}
+		m.start(t)
+		m.hedge(t)
+	case m.mayChange(t, d):
+		m.t.After(settleInterval, func() { m.try(t) })
+	default:
+		m.refuse(t, d)
+	}
 }
 
 // refuse ends a try that the quarantine doesn't admit.
-func (m *model) refuse(t *try) {
-	if t.fingerprint != poisonRequest {
+func (m *model) refuse(t *try, d poison.Decision) {
+	if t.fingerprint != poisonRequest && !t.refused && (d.Quarantined || m.pick(nil) != nil) {
 		m.refused++
+		t.refused = t.scoring
+	}
+	if t.fingerprint != poisonRequest && d.Quarantined {
+		m.blocked++
 	}
 	m.end(t)
 }
@@ -174,24 +200,34 @@
 		return
 	}
 	t.done = true
-	if t.retries > 0 {
+	switch {
+	case t.scoring:
+		m.t.After(scoreBackoff, func() { m.score(t.entry, t.fingerprint, t.refused) })
+	case t.retries > 0:
 		m.t.After(m.between(10*time.Millisecond, 100*time.Millisecond), func() { m.send(t.fingerprint, t.retries-1) })
+	case t.fingerprint != poisonRequest:
+		m.unserved++
 	}
 }
 
 // start sends the request to one endpoint that is up, if the entry may and there is one.
 func (m *model) start(t *try) {
-	at := m.pick()
-	if t.done || t.tried >= maxAttempts || at == nil || !m.admits(t) {
-		if t.inFlight == 0 {
+	at, wait := m.choose(t)
+	if at == nil {
+		switch {
+		case wait:
+			m.t.After(settleInterval, func() { m.start(t) })
+		case t.inFlight == 0:
 			m.end(t)
 		}
 		return
 	}
+	t.settled = time.Time{}
 	t.tried++
 	t.inFlight++
 	a := &attempt{try: t, at: at}
 	at.attempts[a] = true
+	t.entry.copyStarted(a)
 	if t.fingerprint == poisonRequest {
 		m.runPoison(at)
 		return
@@ -209,10 +245,24 @@
 	})
 }
 
-func (m *model) pick() *endpoint {
+// choose returns the endpoint for the next attempt, or nil if there is none. wait is true if the
+// entry waits for the decision to change.
+func (m *model) choose(t *try) (at *endpoint, wait bool) {
+	if t.done || t.tried >= maxAttempts {
+		return nil, false
+	}
+	d := m.decide(t)
+	if !d.Admitted {
+		return nil, m.mayChange(t, d)
+	}
+	return m.pick(d.Only), false
+}
+
+// pick returns an endpoint that is up; only restricts the choice unless it is empty.
+func (m *model) pick(only []string) *endpoint {
 	var up []*endpoint
 	for _, e := range m.list {
-		if e.up {
+		if e.up && (len(only) == 0 || slices.Contains(only, e.name())) {
 			up = append(up, e)
 		}
 	}
@@ -231,6 +281,9 @@
 	m.t.After(m.between(20*time.Millisecond, 120*time.Millisecond), func() {
 		if at.up && at.run == run {
 			m.poisonEnds++
+			m.down++
+			m.mostDown = max(m.mostDown, m.down)
+			at.poisoned = true
 			if m.poisonEnds == 3 {
 				m.third = m.t.Now()
 			}
@@ -246,6 +299,7 @@
 	}
 	delete(a.at.attempts, a)
 	t := a.try
+	t.entry.copyEnded(a)
 	t.inFlight--
 	t.done = true
 	t.entry.registry.RecordAnswer(m.t.Now(), poison.ID{Fingerprint: t.fingerprint})
--- a/internal/lab/quarantine/reports.go
+++ b/internal/lab/quarantine/reports.go
@@ -37,14 +37,24 @@
 	e.up = false
 	lost := e.attempts
 	e.attempts = map[*attempt]bool{}
+	for a := range lost {
+		a.try.entry.copyEnded(a)
+	}
 	for _, t := range inOrder(lost) {
 		t.inFlight--
+		t.entry.learnEnd(e.id, e.run)
 		m.report(t.entry, wire.Suspicion{Fingerprint: t.fingerprint, Endpoint: strconv.Itoa(e.id), Crash: e.run, UnixMilli: m.t.Now().UnixMilli()})
 		m.start(t)
 	}
+	m.unlist(e)
 	m.t.After(m.between(restartMin, restartMin+restartSpread), func() {
+		if e.poisoned {
+			e.poisoned = false
+			m.down--
+		}
 		e.up = true
 		e.run++
+		m.relist(e)
 		m.scheduleEnd(e)
 	})
 }
@@ -70,6 +80,9 @@
 }
 
 func (m *model) count(p *entry, s wire.Suspicion) {
+	if id, err := strconv.Atoi(s.Endpoint); err == nil {
+		p.learnEnd(id, s.Crash)
+	}
 	p.reports[s.Fingerprint] = append(p.reports[s.Fingerprint], s)
 	p.registry.RecordCrash(m.t.Now(), s)
 }
--- a/internal/policy/endpoints/endpoints.go
+++ b/internal/policy/endpoints/endpoints.go
@@ -163,6 +163,7 @@
 	Now             time.Time
 	Domain          string   // failure domain of this process
 	Tried           []string // IDs of endpoints that the request was already sent to
+	Only            []string // IDs of the endpoints that may serve it; empty: any
 	Model           string   // empty: no model is needed
 	MinVersion      int64    // oldest weight version that may serve it
 	Version         int64    // only weight version that may serve it; 0: any from MinVersion
@@ -216,7 +217,7 @@
 // eligible reports whether the endpoint may serve the request, regardless of earlier
 // failures and refusals.
 func (e *State) eligible(r *Request) bool {
-	if e.Leaving || contains(r.Tried, e.ID) {
+	if e.Leaving || contains(r.Tried, e.ID) || len(r.Only) > 0 && !contains(r.Only, e.ID) {
 		return false
 	}
 	if r.Background && e.InFlight >= max(1, e.slots()/backgroundDivisor) {
--- a/internal/policy/poison/poison.go
+++ b/internal/policy/poison/poison.go
@@ -98,7 +98,9 @@
 	reserved            map[ID]bool                  // suspects that are about to start from this entry
 	placements          map[ID]*placement            // where copies of requests that were never answered run
 
+	attribute       bool // see SetAttribution
 	justQuarantined []ID // since the last call of TakeQuarantined
+	justReleased    []ID // since the last call of TakeReleased
 
 	cleared, clearedBefore map[ID]bool // answered in the current and in the last half of ClearedTTL
 	rotateAt               time.Time   // when cleared becomes clearedBefore
@@ -225,6 +227,7 @@
 	}
 	if r.add(s, c) {
 		s.last = now
+		r.updateQuarantine(now)
 	}
 }
 
@@ -233,6 +236,7 @@
 // checks all of them, since a new report may also complete the evidence about crashes of
 // other suspects.
 func (r *Registry) updateQuarantine(now time.Time) {
+	r.releaseContested()
 	for _, id := range sortedIDs(r.suspects) {
 		if r.causedTwoCrashes(now, id) || r.exceedsUnattributed(id) {
 			r.quarantineSuspect(now, id)
--- a/internal/policy/poison/shared.go
+++ b/internal/policy/poison/shared.go
@@ -21,7 +21,11 @@
 // nobody knows what else ran. A request that ran beside their cause is answered by then.
 func (r *Registry) exceedsUnattributed(id ID) bool {
 	limit := r.config.UnattributedCrashes
-	return limit > 0 && r.suspects[id].unattributed() >= limit
+	if limit <= 0 || r.suspects[id].unattributed() < limit {
+		return false
+	}
+	ends := r.unexplained(id)
+	return len(ends) >= limit && !r.contested(id, ends)
 }
 
 // unattributed returns the number of crashes at which nobody knows what else ran.
