Quarantine: specs of single failures, a second endpoint for suspects that were refused, engines

Change: endpoints that did not run a suspect are probed and then passed over. Leaving endpoints count for the size of a service. Quarantine.Status.

--- a/internal/agentless/batchrun/scheduling.go
+++ b/internal/agentless/batchrun/scheduling.go
@@ -125,12 +125,14 @@
 		return
 	}
 	service := routes.SelectService(route, item.ID)
-	admission := r.owner.Quarantine.Admit(quarantine.Copy{Fingerprint: itemFingerprint(j.job.Spec, c.Index), Service: service, Model: j.job.Spec.Model})
+	request := engineRequest(j.job.Spec, start, r.now)
+	admission := r.owner.Quarantine.Admit(quarantine.Copy{
+		Fingerprint: itemFingerprint(j.job.Spec, c.Index), Service: service, Model: request.Model, MinVersion: request.MinVersion, Version: request.Version,
+	})
 	if !admission.Admitted {
 		j.postpone(c.Index, r.now.Add(max(noEngineDelay, min(quarantineDelay, admission.RetryAfter))))
 		return
 	}
-	request := engineRequest(j.job.Spec, start, r.now)
 	request.Only = admission.Only
 	request.Placement = r.placement(j, c, service)
 	pick := r.owner.pickEngine(service, start, request)
--- a/internal/agentless/quarantine/fleet.go
+++ b/internal/agentless/quarantine/fleet.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"siskinloom.example/siskinloom/internal/deployment"
-	"siskinloom.example/siskinloom/internal/policy/poison"
 )
 
 const (
@@ -39,8 +38,12 @@
 	return &fleet{absences: map[string]absence{}, restart: defaultRestart}
 }
 
-// ended records that an endpoint has ended.
+// ended records that an endpoint has ended. The time in a report of a process whose clock is ahead
+// may lie in the future.
 func (f *fleet) ended(at time.Time, e *deployment.Endpoint) {
+	if now := time.Now(); at.After(now) {
+		at = now
+	}
 	known, found := f.absences[e.ID]
 	if found && (known.startedAtMillis > e.StartedAtMillis || known.startedAtMillis == e.StartedAtMillis && at.Sub(known.at) < unhealthyTTL) {
 		return
@@ -81,24 +84,21 @@
 	}
 }
 
-// view returns the endpoints of a service, of which these are listed and not leaving.
-func (f *fleet) view(now time.Time, service string, listed []deployment.Endpoint) poison.Service {
-	view := poison.Service{Size: len(listed)}
-	known := make(map[string]bool, len(listed))
-	for i := range listed {
-		e := &listed[i]
-		known[e.ID] = true
-		a, found := f.absences[e.ID]
-		if !found || a.startedAtMillis != e.StartedAtMillis || now.Sub(a.at) > unhealthyTTL {
-			view.Healthy = append(view.Healthy, e.ID)
-		}
-	}
+// isDown reports whether a listed endpoint is known to have ended.
+func (f *fleet) isDown(now time.Time, e *deployment.Endpoint) bool {
+	a, found := f.absences[e.ID]
+	return found && a.startedAtMillis == e.StartedAtMillis && now.Sub(a.at) <= unhealthyTTL
+}
+
+// absent returns how many endpoints of a service that are not listed are expected back.
+func (f *fleet) absent(now time.Time, service string, listed map[string]bool) int {
+	n := 0
 	for id, a := range f.absences {
-		if a.service == service && !known[id] && now.Sub(a.at) <= absenceTTL {
-			view.Size++
+		if a.service == service && !listed[id] && now.Sub(a.at) <= absenceTTL {
+			n++
 		}
 	}
-	return view
+	return n
 }
 
 // untilBack returns the time until the first ended endpoint of a service is expected back, 0 if
--- a/internal/agentless/quarantine/operator.go
+++ b/internal/agentless/quarantine/operator.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"slices"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -47,6 +48,32 @@
 	return all, nil
 }
 
+// Standing is what this process knows of a request under which endpoints ended.
+type Standing struct {
+	Fingerprint  string
+	Endpoints    map[string]string // that ended under it, with the process that reported each
+	BlockedUntil time.Time         // end of its quarantine; zero: it is only a suspect
+	Contested    bool              // another request ran at the same ends
+	Running      []string          // endpoints that run copies of it for this process; empty ID: not chosen yet
+}
+
+// Status returns the requests under which endpoints ended, sorted by fingerprint.
+func (q *Quarantine) Status() []Standing {
+	now := time.Now()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	all := make([]Standing, 0, len(q.reports))
+	for fingerprint := range q.reports {
+		id := requestID(fingerprint)
+		all = append(all, Standing{
+			Fingerprint: poison.FormatFingerprint(fingerprint), Endpoints: q.endpointsOf(fingerprint),
+			BlockedUntil: q.registry.BlockedUntil(now, id), Contested: q.registry.Contested(id), Running: slices.Clone(q.copies[fingerprint]),
+		})
+	}
+	slices.SortFunc(all, func(a, b Standing) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
+	return all
+}
+
 // Release removes all reports about a request, so that it may run again, and returns their
 // number.
 func Release(ctx context.Context, store kv.TransactionalStore, fingerprint uint64) (removed int, err error) {
--- a/internal/agentless/quarantine/spare.go
+++ b/internal/agentless/quarantine/spare.go
@@ -33,6 +33,8 @@
 	Fingerprint uint64
 	Service     string
 	Model       string   // empty: no model is needed
+	MinVersion  int64    // oldest weight version that may serve it
+	Version     int64    // only weight version that may serve it; 0: any from MinVersion
 	Tried       []string // IDs of endpoints to which the request was sent before
 	InFlight    int      // other copies that the same request has in flight
 }
@@ -82,17 +84,19 @@
 	return q.admission(c, q.decideTried(c))
 }
 
-// decideTried asks the registry. If the only endpoint that may run a suspect didn't run it, it
-// finds out whether that one has ended.
+// decideTried asks the registry. If the decision depends on an endpoint that didn't run the request
+// when it was sent there, it finds out whether that one has ended.
 func (q *Quarantine) decideTried(c Copy) poison.Decision {
-	decision := q.decide(c)
-	for len(decision.Only) == 1 && slices.Contains(c.Tried, decision.Only[0]) {
-		if !q.probeTried(c.Service, decision.Only[0]) {
+	decision, view := q.decide(c)
+	ended := false
+	for _, id := range view.Tried {
+		ended = q.probe(c.Service, id) || ended
+	}
+	if ended {
+		if decision.Admitted {
 			q.release(c.Fingerprint, "")
-			return poison.Decision{Reason: "its endpoint was tried"}
 		}
-		q.release(c.Fingerprint, "")
-		decision = q.decide(c)
+		decision, _ = q.decide(c)
 	}
 	return decision
 }
@@ -122,17 +126,21 @@
 	return a
 }
 
-// decide asks the registry, and counts an admitted copy as one that runs.
-func (q *Quarantine) decide(c Copy) poison.Decision {
+// decide asks the registry, and counts an admitted copy as one that runs. view is empty if the
+// decision doesn't depend on the service's endpoints.
+func (q *Quarantine) decide(c Copy) (decision poison.Decision, view poison.Service) {
 	now := time.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if c.InFlight >= poison.SharedConfig().UnattributedCrashes {
-		return poison.Decision{Reason: "enough copies run"}
+		return poison.Decision{Reason: "enough copies run"}, view
 	}
 	q.applySwitch()
-	view := func() poison.Service { return q.view(now, c.Service, c.Model) }
-	decision := q.registry.Decide(now, requestID(c.Fingerprint), view, q.copies)
+	look := func() poison.Service {
+		view = q.view(now, &c)
+		return view
+	}
+	decision = q.registry.Decide(now, requestID(c.Fingerprint), look, q.copies)
 	if decision.Admitted {
 		q.copies.Add(c.Fingerprint, "")
 	}
@@ -140,7 +148,7 @@
 		q.countBlocked()
 		events.RequestQuarantined.Log(q.log, logrus.Fields{"fingerprint": poison.FormatFingerprint(c.Fingerprint), "service": c.Service, "endpoints": q.endpointsOf(c.Fingerprint)})
 	}
-	return decision
+	return decision, view
 }
 
 // applySwitch passes the state of the mechanism to the registry. mu must be held.
@@ -148,8 +156,8 @@
 	q.registry.SetAttribution(q.Switches.On(mechanism.SpareEndpoints))
 }
 
-// probeTried finds out whether an endpoint that didn't run the request has ended.
-func (q *Quarantine) probeTried(service, id string) bool {
+// probe reports whether a listed endpoint is found to have ended.
+func (q *Quarantine) probe(service, id string) bool {
 	for _, e := range q.Directory.List(service) {
 		if e.ID != id {
 			continue
@@ -164,7 +172,7 @@
 		q.fleet.ended(time.Now(), &e.Endpoint)
 		return true
 	}
-	return true // no longer listed
+	return false
 }
 
 // holdBack counts and logs a copy that is not sent, and returns when the request may be sent again.
@@ -225,13 +233,32 @@
 	q.copies.Remove(fingerprint, endpoint)
 }
 
-// view returns the endpoints of a service that may serve a model. mu must be held.
-func (q *Quarantine) view(now time.Time, service, model string) poison.Service {
-	listed := []deployment.Endpoint{}
-	for _, e := range q.Directory.List(service) {
-		if _, serves := e.Versions[model]; !e.Leaving && (model == "" || serves) {
-			listed = append(listed, e.Endpoint)
+// view returns the endpoints of a service that may serve a copy. mu must be held.
+func (q *Quarantine) view(now time.Time, c *Copy) poison.Service {
+	view := poison.Service{Engines: c.Model != ""}
+	listed := map[string]bool{}
+	for _, e := range q.Directory.List(c.Service) {
+		if !c.serves(&e.Endpoint) {
+			continue
+		}
+		listed[e.ID] = true
+		if e.Leaving || q.fleet.isDown(now, &e.Endpoint) {
+			continue
+		}
+		view.Healthy = append(view.Healthy, e.ID)
+		if slices.Contains(c.Tried, e.ID) {
+			view.Tried = append(view.Tried, e.ID)
 		}
 	}
-	return q.fleet.view(now, service, listed)
+	view.Size = len(listed) + q.fleet.absent(now, c.Service, listed)
+	return view
+}
+
+// serves reports whether the endpoint has the weights that the copy needs.
+func (c *Copy) serves(e *deployment.Endpoint) bool {
+	if c.Model == "" {
+		return true
+	}
+	version, has := e.Versions[c.Model]
+	return has && version >= c.MinVersion && (c.Version == 0 || version == c.Version)
 }
--- a/internal/agentless/quarantine/spare_test.go
+++ b/internal/agentless/quarantine/spare_test.go
@@ -1,9 +1,15 @@
 package quarantine_test
 
 import (
+	"context"
+	"time"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"siskinloom.example/siskinloom/internal/agentless/directory"
+	"siskinloom.example/siskinloom/internal/agentless/mechanism"
+	"siskinloom.example/siskinloom/internal/agentless/quarantine"
 	"siskinloom.example/siskinloom/internal/standin"
 )
 
@@ -30,3 +36,148 @@
 		}
 	})
 })
+
+var _ = Describe("the admission of copies", func() {
+	const suspect, harmless = 1, 2
+	var d *directory.Directory
+	var ended endedAddresses
+	var store *standin.TransactionalStore
+	start := func(name string) *process {
+		p := startProcess(store, name, ended)
+		p.Directory = d
+		return p
+	}
+	admits := func(p *process, tried ...string) *quarantine.Admission {
+		a := p.Admit(quarantine.Copy{Fingerprint: suspect, Service: "app", Tried: tried})
+		if a.Admitted {
+			a.Ended()
+		}
+		return a
+	}
+
+	BeforeEach(func() {
+		store = standin.NewTransactionalStore()
+		ended = endedAddresses{"a:1": true}
+		d = directory.New("self", "", nil)
+		for _, id := range []string{"a", "b", "c"} {
+			d.Put(*endpoint(id))
+		}
+	})
+
+	It("sends a suspect of any process to one endpoint, the same in all processes", func() {
+		first, second := start("p1"), start("p2")
+		first.ConnectionLost(request(suspect), endpoint("a"))
+		only := admits(first).Only
+		Expect(only).To(HaveLen(1))
+		Eventually(func() []string { return admits(second).Only }, "5s").Should(Equal(only))
+		Expect(second.Admit(quarantine.Copy{Fingerprint: harmless, Service: "app"}).Only).To(BeNil())
+	})
+
+	DescribeTable("does not count an endpoint as healthy", func(lose func(p *process)) {
+		p := start("p1")
+		p.ConnectionLost(request(suspect), endpoint("a"))
+		Expect(admits(p).Admitted).To(BeTrue())
+		lose(p)
+		refused := admits(p)
+		Expect(refused.Admitted).To(BeFalse())
+		Expect(refused.Quarantined).To(BeFalse())
+		Expect(refused.RetryAfter).To(And(BeNumerically(">", time.Second), BeNumerically("<", 10*time.Second)))
+	},
+		Entry("that is leaving", func(*process) {
+			e := endpoint("b")
+			e.Leaving = true
+			d.Put(*e)
+		}),
+		Entry("that is no longer listed", func(p *process) {
+			p.EndpointGone("b")
+			d.Remove("b")
+		}),
+		Entry("that another request lost", func(p *process) {
+			ended["b:1"] = true
+			p.ConnectionLost(request(harmless), endpoint("b"))
+		}),
+		Entry("that another process lost", func(p *process) {
+			other := start("p2")
+			ended["b:1"] = true
+			other.ConnectionLost(request(harmless), endpoint("b"))
+			Eventually(func() bool { return admits(p).Admitted }, "5s").Should(BeFalse())
+		}),
+		Entry("that did not run the request and refuses connections", func(p *process) {
+			only := admits(p).Only
+			ended[only[0]+":1"] = true
+			Expect(admits(p, only...).Admitted).To(BeFalse())
+		}),
+	)
+
+	It("admits a suspect again once its endpoint is back, and learns how long that takes", func() {
+		p := start("p1")
+		d.Remove("b")
+		d.Remove("c")
+		p.ConnectionLost(request(suspect), endpoint("a"))
+		Expect(admits(p).Admitted).To(BeFalse())
+		back := endpoint("a")
+		back.StartedAtMillis = 2
+		p.EndpointListed(back)
+		d.Put(*back)
+		Expect(admits(p).Admitted).To(BeTrue())
+		p.ConnectionLost(request(harmless), back)
+		Expect(p.Admit(quarantine.Copy{Fingerprint: harmless, Service: "app"}).RetryAfter).To(BeNumerically("<", 3500*time.Millisecond))
+	})
+
+	It("goes by the number of ends while the mechanism is off, and holds nothing back", func() {
+		p := start("p1")
+		p.Switches = &mechanism.Switches{}
+		p.Switches.SetDisabled([]mechanism.Mechanism{mechanism.SpareEndpoints})
+		d.Remove("b")
+		d.Remove("c")
+		p.ConnectionLost(request(suspect), endpoint("a"))
+		Expect(admits(p)).To(Equal(&quarantine.Admission{Admitted: true}))
+	})
+
+	It("limits the log lines about a suspect that is sent again and again, and shows it to operators", func() {
+		p := start("p1")
+		d.Remove("b")
+		p.ConnectionLost(request(suspect), endpoint("a"))
+		for range 100 {
+			Expect(admits(p).Admitted).To(BeFalse())
+		}
+		Expect(p.log.lines(`"event":2540`)).To(Equal(1))
+		Expect(p.Status()).To(HaveExactElements(HaveField("Endpoints", HaveKeyWithValue("a", "p1"))))
+	})
+
+	// Guards against a refusal of a request that another process's reports clear: another request
+	// ran at its end and at one more.
+	It("admits a suspect to the last endpoint once another process reports the likelier cause", func() {
+		p, other := start("p1"), start("p2")
+		ended["b:1"] = true
+		p.ConnectionLost(request(suspect), endpoint("b"))
+		for _, id := range []string{"a", "b"} {
+			other.ConnectionLost(request(harmless), endpoint(id))
+		}
+		Eventually(func() bool { return admits(p).Admitted }, "5s").Should(BeTrue())
+	})
+
+	It("waits for another copy of a suspect to end, if asked to", func() {
+		p := start("p1")
+		p.ConnectionLost(request(suspect), endpoint("a"))
+		first := p.Admit(quarantine.Copy{Fingerprint: suspect, Service: "app"})
+		first.Started(first.Only[0])
+		Expect(admits(p).Admitted).To(BeFalse())
+		second := make(chan bool, 1)
+		go func() {
+			second <- p.AdmitSettled(context.Background(), quarantine.Copy{Fingerprint: suspect, Service: "app"}).Admitted
+		}()
+		first.Ended()
+		Eventually(second, "5s").Should(Receive(BeTrue()))
+	})
+
+	It("does not wait once its context has ended", func() {
+		p := start("p1")
+		p.ConnectionLost(request(suspect), endpoint("a"))
+		first := p.Admit(quarantine.Copy{Fingerprint: suspect, Service: "app"})
+		Expect(first.Admitted).To(BeTrue())
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		Expect(p.AdmitSettled(ctx, quarantine.Copy{Fingerprint: suspect, Service: "app"}).Admitted).To(BeFalse())
+	})
+})
--- a/internal/policy/poison/spare.go
+++ b/internal/policy/poison/spare.go
@@ -31,7 +31,13 @@
 // Service describes the endpoints that may serve a request, as a process knows them.
 type Service struct {
 	Healthy []string // IDs of those that are listed, not leaving and not known to have ended
-	Size    int      // number of endpoints, with those that ended and are expected back
+	Size    int      // number of endpoints, with those that are leaving and those that ended and are expected back
+	// Tried holds the IDs of healthy endpoints that did not run the request when it was sent to
+	// them. A suspect goes to another one.
+	Tried []string
+	// Engines says that the endpoints run texts. A text takes seconds, so that an engine that is
+	// full or loads weights would hold up a suspect that may go nowhere else.
+	Engines bool
 }
 
 // Decision says whether a copy of a request may be sent now.
@@ -105,7 +111,10 @@
 	case len(view.Healthy) == 1 && view.Size > 1:
 		return Decision{Reason: "one endpoint is healthy", Settled: r.suspects[id].last.Add(settleTime)}
 	}
-	endpoint := isolation(id, view.Healthy)
+	endpoint := isolation(id, &view)
+	if endpoint == "" {
+		return Decision{Reason: "its endpoint did not run it"}
+	}
 	if r.suspectRuns(id, endpoint, ends, copies) {
 		return Decision{Reason: "another suspect runs", Settled: now.Add(settleTime)}
 	}
@@ -114,6 +123,9 @@
 			return Decision{Until: start, Reason: "others ran at the same ends"}
 		}
 	}
+	if view.Engines && view.Size > smallService {
+		return Decision{Admitted: true}
+	}
 	return Decision{Admitted: true, Only: []string{endpoint}}
 }
 
@@ -139,7 +151,7 @@
 		return Decision{Admitted: true}
 	}
 	view := service()
-	if view.Size > smallService {
+	if view.Size > smallService || view.Engines {
 		return Decision{Admitted: true}
 	}
 	var occupied []string
@@ -169,13 +181,22 @@
 	return r.config.UnattributedCrashes
 }
 
-// isolation returns the endpoint that runs the copies of a suspect.
-func isolation(id ID, healthy []string) string {
-	nodes := make([]uint64, len(healthy))
-	for i, endpoint := range healthy {
-		nodes[i] = rendezvous.Key(endpoint)
+// isolation returns the endpoint that runs the copies of a suspect, or an empty string if all were
+// tried. Each suspect has its own: at one endpoint for all suspects of a service, a harmless one
+// would run beside the cause of its first end again.
+func isolation(id ID, s *Service) string {
+	var candidates []string
+	var nodes []uint64
+	for _, endpoint := range s.Healthy {
+		if !slices.Contains(s.Tried, endpoint) {
+			candidates = append(candidates, endpoint)
+			nodes = append(nodes, rendezvous.Key(endpoint))
+		}
 	}
-	return healthy[rendezvous.Ranked(id.Fingerprint, nodes, 1)[0]]
+	if len(candidates) == 0 {
+		return ""
+	}
+	return candidates[rendezvous.Ranked(id.Fingerprint, nodes, 1)[0]]
 }
 
 // nextTurn returns when the request with an index among n may start: now, or the start of its next
@@ -249,6 +270,12 @@
 	return outweighed || len(tied) > 1
 }
 
+// Contested reports whether another request ran at all ends that count against a suspect.
+func (r *Registry) Contested(id ID) bool {
+	ends := r.unexplained(id)
+	return len(ends) > 0 && r.contested(id, ends)
+}
+
 // releaseContested ends the quarantine of requests at whose ends, as a later report shows, another
 // request ran as well. A process hears of its own ends first.
 func (r *Registry) releaseContested() {
