--- a/internal/agentless/mechanism/mechanism.go
+++ b/internal/agentless/mechanism/mechanism.go
@@ -70,6 +70,9 @@
 	StandbyRuns Mechanism = "standby-runs"
 	// Relay reaches the store through other processes.
 	Relay Mechanism = "relay"
+	// SpareEndpoints keeps requests under which an endpoint ended off the last healthy endpoints
+	// of their service.
+	SpareEndpoints Mechanism = "spare-endpoints"
 )
 
 // All returns every mechanism, sorted.
@@ -77,6 +80,7 @@
 	all := []Mechanism{
 		Hedges, SetAside, OwnPreference, NearFirst, MoveSlow, MoveCrowded, LongestFirst, SpareLast, ByDelay, KeepNarrow, PlaceByTime, ShareLoad,
 		LearnSpeeds, LearnLengths, WholeSteps, TextJournal, TextCopies, CacheResults, ReadNear, AlternateLoads, TellLoads, TakeOver, StandbyRuns, Relay,
+		SpareEndpoints,
 	}
 	sort.Slice(all, func(i, j int) bool { return all[i] < all[j] })
 	return all
--- a/internal/events/fleet.go
+++ b/internal/events/fleet.go
@@ -108,3 +108,9 @@
 	ItemMoved        = define(2510, logrus.InfoLevel, "text moved to an engine where it ends sooner")
 	FastReportUnused = define(2511, logrus.WarnLevel, "report of fast engines was not used")
 )
+
+// Events of requests that are suspected to end endpoints: 2540 to 2549.
+var (
+	SuspectHeldBack     = define(2540, logrus.WarnLevel, "request under which an endpoint ended is held back")
+	QuarantineContested = define(2541, logrus.InfoLevel, "request is no longer quarantined; others ran at the same ends of endpoints")
+)
