fairshare, sharerun: processes divide the slots of a service under pressure

Cause: 17 entries compete for the 18 slots of a plain service by their own view of it, and the heaviest sender gets them. Owners of jobs use a fixed third of each endpoint for scoring calls, whether the rest is idle or not. Change: policy/fairshare (reports, max-min division, the state of a reporting process), agentless/sharerun (net/rpc, every 100 ms and only under pressure), wiring in node, scoring calls in batchrun, mechanism share-slots, events 2530-2535, metrics shares.*.

--- a/internal/agentless/batchrun/owner.go
+++ b/internal/agentless/batchrun/owner.go
@@ -58,6 +58,9 @@
 	Texts      *textlog.Log           // stores partial texts on disk; nil: they are not stored
 	Copier     *Copier                // replicates partial texts to a standby; its functions may be nil
 	Standby    *Standby               // takes over jobs of other owners that are lost
+	// Shares limits the scoring calls at services that are under pressure; nil: scoring calls use
+	// a fixed part of the slots.
+	Shares Shares
 	// OtherOwners returns the other processes that own jobs of these models; nil means that
 	// there are none.
 	OtherOwners func(models []string) []string
@@ -89,7 +92,8 @@
 
 	running chan struct{} // closed when Run has started
 
-	scoreTimes scoreTimes
+	scoreTimes  scoreTimes
+	scoreDemand scoreDemand
 
 	lastLoad atomic.Pointer[schedule.Load] // of all open jobs at the last dispatch; nil: none yet
 }
--- a/internal/agentless/batchrun/runs.go
+++ b/internal/agentless/batchrun/runs.go
@@ -104,11 +104,12 @@
 			o.scored(j, now, i, batch.ScoreRetryable, "", 0)
 			return
 		}
-		request := endpoints.Request{Now: now, RequireFreeSlot: true, Background: true}
+		request := endpoints.Request{Now: now, RequireFreeSlot: true}
 		if last != "" {
 			request.Tried = []string{last}
 		}
-		pick := o.Directory.Pick(routes.SelectService(route, scorer.ID), request)
+		call := scoreCall{service: routes.SelectService(route, scorer.ID), customer: j.job.Spec.Customer}
+		pick := o.pickScorer(j, call, request)
 		if pick == nil {
 			o.scored(j, now, i, batch.ScoreRetryable, "", route.MaxAttempts)
 			return
@@ -116,7 +117,12 @@
 		j.mu.Lock()
 		j.job.SetScoringEndpoint(i, pick.ID)
 		j.mu.Unlock()
-		o.runs.Go(func() error { o.score(j, i, pick, route.MaxAttempts); return nil })
+		o.runs.Go(func() error {
+			o.score(j, i, pick, route.MaxAttempts)
+			o.scoreDemand.ended(call)
+			o.wakeDispatch()
+			return nil
+		})
 	}
 }
 
@@ -147,7 +153,6 @@
 		}
 		events.ItemScoreLost.Log(o.Log, fields)
 	}
-	o.wakeDispatch()
 }
 
 // scorerFingerprint returns the fingerprint of a scoring call's content.
--- a/internal/agentless/directory/directory.go
+++ b/internal/agentless/directory/directory.go
@@ -32,8 +32,9 @@
 
 // shard holds the endpoints of one service.
 type shard struct {
-	mu  sync.Mutex
-	set *endpoints.Set
+	mu     sync.Mutex
+	set    *endpoints.Set
+	fullAt time.Time // when an endpoint last refused a request because it was full; zero: never
 }
 
 // New returns an empty directory of the process self in a failure domain. onRemoved is called
@@ -186,6 +187,9 @@
 	defer p.shard.mu.Unlock()
 	p.state.ReleasePlacement(&p.placement)
 	p.state.End(now, outcome, latency, work)
+	if outcome == endpoints.Refused {
+		p.shard.fullAt = now
+	}
 }
 
 // ObservePace records the seconds that a unit of work took, without the wait before it.
--- a/internal/agentless/mechanism/mechanism.go
+++ b/internal/agentless/mechanism/mechanism.go
@@ -65,6 +65,8 @@
 	StandbyRuns Mechanism = "standby-runs"
 	// Relay reaches the store through other processes.
 	Relay Mechanism = "relay"
+	// ShareSlots divides the slots of a service under pressure between processes.
+	ShareSlots Mechanism = "share-slots"
 )
 
 // All returns every mechanism, sorted.
@@ -72,6 +74,7 @@
 	all := []Mechanism{
 		Hedges, SetAside, OwnPreference, NearFirst, MoveSlow, MoveCrowded, LongestFirst, SpareLast, ByDelay, KeepNarrow, ShareLoad,
 		LearnLengths, WholeSteps, TextJournal, TextCopies, CacheResults, ReadNear, AlternateLoads, TellLoads, TakeOver, StandbyRuns, Relay,
+		ShareSlots,
 	}
 	sort.Slice(all, func(i, j int) bool { return all[i] < all[j] })
 	return all
--- a/internal/agentless/node/node.go
+++ b/internal/agentless/node/node.go
@@ -28,6 +28,7 @@
 	"siskinloom.example/siskinloom/internal/agentless/modelrun"
 	"siskinloom.example/siskinloom/internal/agentless/netcount"
 	"siskinloom.example/siskinloom/internal/agentless/quarantine"
+	"siskinloom.example/siskinloom/internal/agentless/sharerun"
 	"siskinloom.example/siskinloom/internal/agentless/storepath"
 	"siskinloom.example/siskinloom/internal/agentless/textlog"
 	"siskinloom.example/siskinloom/internal/agentless/usagerun"
@@ -148,6 +149,7 @@
 	models     *modelrun.Runner
 	relay      *cluster.Relay // serves the store's changes; nil unless the process is a worker
 	usage      usageRoles
+	shares     *sharerun.Runner
 	outage     storeOutage
 	contact    contactTime
 
@@ -195,6 +197,7 @@
 	n.gate = gate.New(n.directory, a.Sender, log, registry)
 	n.gate.Switches, n.gate.Quarantine, n.gate.Current = switches, n.quarantine, n.contact.isCurrent
 	n.addUsage(self, peers)
+	n.shares = n.newShares(self, peers, switches)
 	if s.Worker {
 		n.owner.OtherOwners, n.owner.SendLoad = n.frontend.OtherOwners, n.frontend.SendLoad
 		n.owner.Copier.StandbyFor, n.owner.Copier.Send, n.owner.FetchTexts = n.frontend.StandbyFor, n.frontend.SendCopy, n.frontend.FetchTexts
@@ -290,6 +293,7 @@
 		group.Go(func() error { return bootstrap.Run(work) })
 	}
 	n.usage.run(work, group)
+	group.Go(func() error { return n.shares.Run(work) })
 	select {
 	case <-ctx.Done():
 		n.stop(servers)
@@ -344,6 +348,9 @@
 		if err := n.usage.register(server); err != nil {
 			return nil, err
 		}
+		if err := n.shares.Register(server); err != nil {
+			return nil, err
+		}
 	}
 	group.Go(func() error { return serveCalls(ctx, server, inner) })
 	if n.settings.CallerAddress != "" {
--- /dev/null
+++ b/internal/agentless/sharerun/sharerun_test.go
@@ -0,0 +1,235 @@
+package sharerun_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"fmt"
+	"net"
+	"net/rpc"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"siskinloom.example/siskinloom/internal/agentless/cluster"
+	"siskinloom.example/siskinloom/internal/agentless/directory"
+	"siskinloom.example/siskinloom/internal/agentless/mechanism"
+	"siskinloom.example/siskinloom/internal/agentless/sharerun"
+	"siskinloom.example/siskinloom/internal/deployment"
+	"siskinloom.example/siskinloom/internal/kv"
+	"siskinloom.example/siskinloom/internal/policy/fairshare"
+	"siskinloom.example/siskinloom/internal/rpcpool"
+	"siskinloom.example/siskinloom/internal/standin"
+)
+
+const timeout = 20 * time.Second
+
+func TestSharerun(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "sharerun")
+}
+
+// safeBuffer is a log that is written and read concurrently.
+type safeBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (s *safeBuffer) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+func (s *safeBuffer) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.String()
+}
+
+// queue is a DemandSource.
+type queue struct {
+	mu      sync.Mutex
+	demands []fairshare.Demand
+}
+
+func (q *queue) Demands(string) []fairshare.Demand {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.demands
+}
+
+func (q *queue) set(demands ...fairshare.Demand) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.demands = demands
+}
+
+// process is one process with a service of three endpoints with six slots each.
+type process struct {
+	self     cluster.Member
+	shares   *sharerun.Runner
+	queue    queue
+	switches mechanism.Switches
+	registry metrics.Registry
+	log      safeBuffer
+	listener net.Listener
+	stop     context.CancelFunc
+}
+
+// fleet is a list of processes that know each other.
+type fleet struct {
+	members  *cluster.Members
+	register *cluster.Registrar
+}
+
+func newFleet() *fleet {
+	f := &fleet{members: cluster.NewMembers()}
+	log := logrus.New()
+	log.SetOutput(GinkgoWriter)
+	f.register = cluster.NewRegistrar(standin.NewTransactionalStore(), cluster.Member{Name: "none"}, time.Hour, f.members, log)
+	return f
+}
+
+func (f *fleet) list(m cluster.Member) {
+	var raw bytes.Buffer
+	Expect(gob.NewEncoder(&raw).Encode(m)).To(Succeed())
+	f.register.Topic().Changed(kv.Record{Key: "live/members/" + m.Name, Value: raw.Bytes(), Revision: 1})
+}
+
+// start starts a process of the fleet; customers are declared if there are any.
+func (f *fleet) start(name string, worker bool, customers ...deployment.Customer) *process {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	p := &process{self: cluster.Member{Name: name, Address: listener.Addr().String(), Worker: worker}, listener: listener, registry: metrics.NewRegistry()}
+	log := logrus.New()
+	log.SetOutput(&p.log)
+	d := directory.New(name, "", nil)
+	d.Declare(&deployment.Declaration{Version: 1, Customers: customers, Services: map[string]deployment.Service{"app": {Name: "app"}, "llm": {Name: "llm", Models: []string{"m"}}}})
+	for i := range 3 {
+		d.Put(deployment.Endpoint{ID: fmt.Sprint("app", i), Service: "app", Address: "x:1", Slots: 6})
+	}
+	p.shares = sharerun.New(sharerun.Config{Self: p.self, Directory: d, Members: f.members, Peers: rpcpool.New(nil), Switches: &p.switches, Log: log, Registry: p.registry})
+	p.shares.AddSource(&p.queue)
+	server := rpc.NewServer()
+	Expect(p.shares.Register(server)).To(Succeed())
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go server.ServeConn(conn)
+		}
+	}()
+	f.list(p.self)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = p.shares.Run(ctx)
+	}()
+	p.stop = func() { cancel(); <-done; _ = listener.Close() }
+	DeferCleanup(p.stop)
+	return p
+}
+
+// slots returns the slots of the service, -1 if they are not limited.
+func (p *process) slots() int {
+	if slots, known := p.shares.Slots("app"); known {
+		return slots
+	}
+	return -1
+}
+
+func (p *process) count(name string) int64 {
+	return metrics.GetOrRegisterCounter(name, p.registry).Count()
+}
+
+var _ = Describe("processes at a service under pressure", func() {
+	tenants := []deployment.Customer{{Name: "a"}, {Name: "b"}}
+	var f *fleet
+	var worker, one, two *process
+
+	BeforeEach(func() {
+		f = newFleet()
+		worker = f.start("worker", true, tenants...)
+		one, two = f.start("one", false, tenants...), f.start("two", false, tenants...)
+	})
+
+	It("get fair parts of it and its whole when the others have no demand", func() {
+		one.queue.set(fairshare.Demand{Customer: "a", Weight: 1, Waiting: 90})
+		two.queue.set(fairshare.Demand{Customer: "b", Weight: 1, InFlight: 2, Waiting: 30})
+		Eventually(one.slots).WithTimeout(timeout).Should(Equal(9))
+		Eventually(two.slots).WithTimeout(timeout).Should(Equal(9))
+		limit, limited := one.shares.CustomerSlots("app", "a")
+		Expect(limited).To(BeTrue())
+		Expect(limit).To(Equal(9))
+		status := worker.shares.Status()
+		Expect(status.Divided).To(HaveLen(1))
+		Expect(status.Divided[0].Capacity).To(Equal(18))
+		Expect(one.shares.Status().Services).To(ConsistOf(HaveField("Worker", "worker")))
+		two.queue.set()
+		Eventually(one.slots).WithTimeout(timeout).Should(Equal(18))
+		one.queue.set()
+		Eventually(one.slots).WithTimeout(timeout).Should(Equal(-1))
+		Expect(one.log.String()).To(And(ContainSubstring("event=2530"), ContainSubstring("event=2531")))
+	})
+
+	It("leave one slot of each endpoint to callers while only owners of jobs report", func() {
+		worker.queue.set(fairshare.Demand{Customer: "a", Weight: 1, Waiting: 90})
+		Eventually(worker.slots).WithTimeout(timeout).Should(Equal(15))
+	})
+
+	It("use an equal part while no worker answers", func() {
+		one.queue.set(fairshare.Demand{Customer: "a", Weight: 1, Waiting: 90})
+		Eventually(one.slots).WithTimeout(timeout).Should(Equal(18))
+		worker.stop()
+		f.register.Topic().Changed(kv.Record{Key: "live/members/two", Revision: 2})
+		f.list(cluster.Member{Name: "worker", Address: "127.0.0.1:1", Worker: true})
+		Eventually(one.log.String).WithTimeout(timeout).Should(And(ContainSubstring("event=2532"), ContainSubstring("event=2534")))
+		Expect(one.slots()).To(Equal(18), "it was the only one that reported")
+	})
+
+	It("log the sender and the field of values that are not used, and use the rest", func() {
+		client, err := rpc.Dial("tcp", worker.self.Address)
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = client.Close() }()
+		var a fairshare.Allotment
+		report := fairshare.Report{Process: "x", Service: "app", At: time.Now(), Slots: 18, Rest: -4, Demands: []fairshare.Demand{{Customer: "a", Weight: -1, Waiting: 3}}}
+		for range 50 {
+			Expect(client.Call("Shares.Exchange", report, &a)).To(Succeed())
+		}
+		Expect(a.Slots).To(Equal(18))
+		Expect(worker.log.String()).To(And(ContainSubstring("from=x"), ContainSubstring("field=Rest"), ContainSubstring("field=Demands.Weight")))
+		Expect(bytes.Count([]byte(worker.log.String()), []byte("\n"))).To(Equal(2), "one line for each field")
+		Expect(worker.count("shares.values.unused")).To(BeEquivalentTo(100))
+	})
+
+	It("are not limited, and send nothing, once the mechanism is disabled", func() {
+		one.queue.set(fairshare.Demand{Customer: "a", Weight: 1, Waiting: 90})
+		Eventually(one.slots).WithTimeout(timeout).Should(Equal(18))
+		one.switches.SetDisabled([]mechanism.Mechanism{mechanism.ShareSlots})
+		Eventually(one.slots).WithTimeout(timeout).Should(Equal(-1))
+		sent := one.count("shares.reports.sent")
+		Consistently(func() int64 { return one.count("shares.reports.sent") }).Should(Equal(sent))
+	})
+})
+
+var _ = Describe("processes without customers", func() {
+	// Deployments without customers must behave as before.
+	It("are never limited and send nothing", func() {
+		f := newFleet()
+		worker, one := f.start("worker", true), f.start("one", false)
+		for _, p := range []*process{worker, one} {
+			p.queue.set(fairshare.Demand{Weight: 1, Waiting: 90})
+		}
+		Consistently(func() int { return max(worker.slots(), one.slots()) }).Should(Equal(-1))
+		Expect(worker.count("shares.reports.sent") + one.count("shares.reports.sent")).To(BeZero())
+	})
+})
--- a/internal/policy/batch/score.go
+++ b/internal/policy/batch/score.go
@@ -46,6 +46,20 @@
 	return 0, "", false
 }
 
+// UnscoredTexts returns the number of complete texts that no scoring call is in flight for.
+func (j *Job) UnscoredTexts() int {
+	if j.closed {
+		return 0
+	}
+	n := 0
+	for i := range j.items {
+		if j.items[i].phase == generated {
+			n++
+		}
+	}
+	return n
+}
+
 // SetScoringEndpoint records the endpoint of the call that NextScore counted.
 func (j *Job) SetScoringEndpoint(i int, endpoint string) {
 	j.items[i].scoringCalls.lastEndpoint = endpoint
