--- a/internal/agentless/sharerun/sharerun.go
+++ b/internal/agentless/sharerun/sharerun.go
@@ -158,9 +158,8 @@
 	r.stats.pressed.Update(int64(services))
 }
 
-// view returns what this process knows of a service. Owners of jobs leave one slot of each endpoint
-// out: callers' lookups that come while no entry reports find it free. As soon as an entry reports,
-// all slots are divided.
+// view returns what this process knows of a service. An owner of jobs leaves one slot of each
+// endpoint to callers: lookups that come while no entry reports find it free.
 func (r *Runner) view(service string) fairshare.View {
 	usage := r.Directory.Usage(service)
 	v := fairshare.View{Service: service, Slots: usage.Slots, InFlight: usage.InFlight, FullAt: usage.FullAt}
--- a/internal/policy/fairshare/check.go
+++ b/internal/policy/fairshare/check.go
@@ -13,8 +13,10 @@
 	maxNameBytes = 200
 	// maxCount is the largest number of slots or requests in a message.
 	maxCount = 1_000_000
-	// maxWeight is the largest weight of a customer relative to that of another one.
-	maxWeight = 1000
+	// minWeight and maxWeight are the bounds of a customer's weight; the usual one is 1.
+	minWeight, maxWeight = 1e-3, 1e3
+	// maxLevel is the largest level that a division can have.
+	maxLevel = maxCount / minWeight
 	// maxClockDifference is how far the clocks of two machines may differ. A time that is further
 	// in the future is not used.
 	maxClockDifference = time.Second
@@ -94,7 +96,7 @@
 
 func validName(name string) bool { return len(name) <= maxNameBytes }
 
-func validWeight(w float64) bool { return w > 0 && w <= maxWeight } // false if it is not a number
+func validWeight(w float64) bool { return w >= minWeight && w <= maxWeight } // false if it is not a number
 
 // usableWeight returns the weight, or 1 if it is out of range.
 func usableWeight(w float64) float64 {
@@ -115,7 +117,7 @@
 	}
 	c := &checker{}
 	usable = Allotment{Slots: a.Slots, Level: a.Level, Processes: a.Processes}
-	if a.Level < 0 || a.Level > maxCount || math.IsNaN(a.Level) {
+	if a.Level < 0 || a.Level > maxLevel || math.IsNaN(a.Level) {
 		c.reject("Level", a.Level)
 		usable.Level = 0
 	}
--- a/internal/policy/fairshare/client.go
+++ b/internal/policy/fairshare/client.go
@@ -178,7 +178,7 @@
 	if s.calling || s.worker == "" || now.Before(s.nextAt) {
 		return nil
 	}
-	report, size := c.report(now, s, v)
+	report, size := c.report(now, v)
 	s.calling, s.finalDue = true, false
 	s.nextAt = now.Add(max(Interval(s.processes), sendTime(size*len(c.services))))
 	calls := []Call{{Worker: s.worker, Report: report, Again: s.failures > 0}}
--- a/internal/policy/fairshare/divide.go
+++ b/internal/policy/fairshare/divide.go
@@ -20,8 +20,8 @@
 type part struct {
 	process  int // index of the report
 	claim    int
-	customer string
 	demand   int
+	customer string
 	rest     bool
 }
 
@@ -56,7 +56,7 @@
 	if d.total <= capacity {
 		for i := range reports {
 			r := &reports[i]
-			allotments[r.Process] = Allotment{Slots: max(1, r.total()+capacity-d.total), Processes: len(reports)}
+			allotments[r.Process] = Allotment{Slots: r.limited(r.total() + capacity - d.total), Processes: len(reports)}
 		}
 		return allotments
 	}
@@ -64,14 +64,20 @@
 	slots := apportion(capacity, d.quotas())
 	customers := d.limits(phase)
 	for i := range reports {
-		allotments[reports[i].Process] = Allotment{Slots: max(1, slots[i]), Customers: customers[i], Level: level, Processes: len(reports)}
+		allotments[reports[i].Process] = Allotment{Slots: reports[i].limited(slots[i]), Customers: customers[i], Level: level, Processes: len(reports)}
 	}
 	return allotments
 }
 
 // collect sums the reported demands by customer.
 func (d *division) collect() {
-	byCustomer := map[string]int{}
+	parts := 0
+	for i := range d.reports {
+		parts += len(d.reports[i].Demands) + 1
+	}
+	d.parts = make([]part, 0, parts)
+	d.claims = make([]claim, 0, parts)
+	byCustomer := make(map[string]int, parts)
 	for i := range d.reports {
 		r := &d.reports[i]
 		for k := range r.Demands {
@@ -102,6 +108,14 @@
 	d.total += p.demand
 }
 
+// limited returns the slots of a process: at least one, and not more than it can use.
+func (r *Report) limited(slots int) int {
+	if r.Slots > 0 {
+		slots = min(slots, r.Slots)
+	}
+	return max(1, slots)
+}
+
 // restWeight returns the weight of the customers that a report does not list. None of them asks
 // for more than the last one that is listed, so they are at least this many. Their weights are not
 // known and count as 1.
@@ -117,19 +131,23 @@
 // returns the level.
 func (d *division) fill(capacity float64) float64 {
 	order := make([]int, len(d.claims))
-	weights := 0.0
 	for i := range order {
 		order[i] = i
-		weights += d.claims[i].weight
 	}
 	slices.SortFunc(order, func(a, b int) int {
 		x, y := &d.claims[a], &d.claims[b]
 		return cmp.Compare(x.demand*y.weight, y.demand*x.weight)
 	})
+	// Sums from the end: subtracting from the total would leave rounding errors that are larger
+	// than the last weights.
+	weights := make([]float64, len(order)+1)
+	for at := len(order) - 1; at >= 0; at-- {
+		weights[at] = weights[at+1] + d.claims[order[at]].weight
+	}
 	level := 0.0
 	for at, i := range order {
 		c := &d.claims[i]
-		level = capacity / weights
+		level = capacity / weights[at]
 		if c.demand > level*c.weight {
 			for _, limited := range order[at:] {
 				d.claims[limited].share = level * d.claims[limited].weight
@@ -138,7 +156,6 @@
 		}
 		c.share = c.demand
 		capacity -= c.demand
-		weights -= c.weight
 	}
 	return level
 }
@@ -174,21 +191,24 @@
 // get 17 of 12 slots.
 func (d *division) limits(phase float64) []map[string]int {
 	limits := make([]map[string]int, len(d.reports))
-	sums := make([]float64, len(d.claims)) // of the parts so far
+	sums := make([]float64, len(d.claims)) // of the offset and the parts so far; 0: none yet
 	for i := range d.parts {
 		p := &d.parts[i]
 		c := &d.claims[p.claim]
 		if p.rest || c.share >= c.demand {
 			continue
 		}
-		before := sums[p.claim] + offset(phase, p.customer)
+		if sums[p.claim] == 0 {
+			sums[p.claim] = offset(phase, p.customer) + roundingError
+		}
+		before := int(sums[p.claim])
 		sums[p.claim] += max(minCustomerSlots, c.share) * float64(p.demand) / c.demand
-		slots := int(sums[p.claim]+offset(phase, p.customer)+roundingError) - int(before+roundingError)
+		slots := int(sums[p.claim]) - before
 		if slots >= p.demand {
 			continue
 		}
 		if limits[p.process] == nil {
-			limits[p.process] = map[string]int{}
+			limits[p.process] = make(map[string]int, len(d.reports[p.process].Demands))
 		}
 		limits[p.process][p.customer] = slots
 	}
--- a/internal/policy/fairshare/divide_test.go
+++ b/internal/policy/fairshare/divide_test.go
@@ -52,6 +52,12 @@
 		Expect(got["p1"]).To(Equal(fairshare.Allotment{Slots: 8, Processes: 2}))
 	})
 
+	It("gives no process more slots than it can use", func() {
+		got := fairshare.Divide(12, []fairshare.Report{report("p0", 10, demand("a", 30)), report("p1", 12, demand("b", 1))})
+		Expect(got["p0"].Slots).To(Equal(10))
+		Expect(fairshare.Divide(12, []fairshare.Report{report("p0", 10, demand("a", 1))})["p0"].Slots).To(Equal(10))
+	})
+
 	It("gives each process a slot", func() {
 		var reports []fairshare.Report
 		for i := range 17 {
--- a/internal/policy/fairshare/failures_test.go
+++ b/internal/policy/fairshare/failures_test.go
@@ -60,7 +60,7 @@
 		s.processes[3].customers[0].rate = 0
 		s.processes[3].customers[0].waiting = nil
 		s.run(300 * time.Millisecond)
-		Expect(slots(0)).To(BeNumerically(">=", 7), "the idle process may still start one request")
+		Expect(slots(0)).To(Equal(8))
 	})
 
 	It("are divided anew within a second when a third of the endpoints is lost", func() {
--- a/internal/policy/fairshare/load_test.go
+++ b/internal/policy/fairshare/load_test.go
@@ -2,10 +2,15 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
+	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"siskinloom.example/siskinloom/internal/policy/fairshare"
 )
 
 // overloaded returns 17 processes with 71 customers at a service that has lost a third of its 18
@@ -42,6 +47,12 @@
 	return fmt.Sprintf("least %.2f, mean %.2f, first %d, served %d, refused %d", least, mean, s.served["c0"], total(s.served), s.refused)
 }
 
+// percentile returns a percentile of the durations.
+func percentile(d []time.Duration, percent int) time.Duration {
+	slices.Sort(d)
+	return d[len(d)*percent/100]
+}
+
 var _ = Describe("a service that cannot serve all customers", func() {
 	// Without a division, a customer with twelve times the requests of each other one has requests
 	// waiting in every process and gets a share of the slots in each of them.
@@ -67,6 +78,46 @@
 		Expect(s.refused).To(BeNumerically("<", without.refused/2))
 	})
 
+	// An owner of jobs has all texts of a step scored at once, and without a division it uses a
+	// third of the slots for that. If the callers ask for little, the rest is idle; if they ask for
+	// much, lookups wait behind the scoring calls.
+	DescribeTable("uses idle slots for scoring calls, and does not delay lookups for them",
+		func(lookupsPerSecond float64, faster string) {
+			play := func(limited bool) (lookups, scoring time.Duration) {
+				s := newSimulation(18, 12)
+				s.limited = limited
+				for i := range 71 {
+					for p := range 17 {
+						s.add(p, fmt.Sprint("c", i), lookupsPerSecond/71/17)
+					}
+				}
+				s.processes[17].fixed, s.processes[17].reserve = 4, 2
+				trainer := s.add(17, "trainer", 0)
+				trainer.patient = true
+				for range 4 {
+					trainer.waiting = slices.Repeat([]time.Time{s.now}, 160)
+					s.run(4 * time.Second)
+				}
+				Expect(s.served["trainer"]).To(Equal(4 * 160))
+				scoring = slices.Max(s.waits[trainer])
+				delete(s.waits, trainer)
+				return percentile(slices.Concat(slices.Collect(maps.Values(s.waits))...), 99), scoring
+			}
+			lookupsBefore, scoringBefore := play(false)
+			lookups, scoring := play(true)
+			AddReportEntry("wait of lookups (99 %) and scoring calls (longest), without and with", fmt.Sprint(lookupsBefore, scoringBefore, lookups, scoring))
+			Expect(lookups).To(BeNumerically("<", 150*time.Millisecond))
+			if faster == "scoring calls" {
+				Expect(scoring).To(BeNumerically("<", scoringBefore*3/4))
+			} else {
+				Expect(lookups).To(BeNumerically("<", lookupsBefore*3/4))
+			}
+		},
+		Entry("at 12 lookups per second", 12.0, "scoring calls"),
+		Entry("at 144 lookups per second", 144.0, "scoring calls"),
+		Entry("at 355 lookups per second", 355.0, "lookups"),
+	)
+
 	It("costs no message and holds no state while there is no pressure", func() {
 		s := overloaded()
 		s.slots = 60
@@ -76,5 +127,9 @@
 			Expect(p.client.Services()).To(BeZero())
 		}
 		Expect(s.refused).To(BeZero())
+		client := fairshare.NewClient("p")
+		Expect(testing.AllocsPerRun(100, func() {
+			client.Check(start, fairshare.View{Service: service, Slots: 18, InFlight: 3}, fairshare.Fleet{})
+		})).To(BeZero())
 	})
 })
--- a/internal/policy/fairshare/report.go
+++ b/internal/policy/fairshare/report.go
@@ -26,9 +26,8 @@
 }
 
 // report returns the report of a view and its size. It lists the customers with the largest
-// demand, as many as fit the limits. A process under pressure asks for at least one slot: its next
-// request arrives before its next report.
-func (c *Client) report(now time.Time, s *clientService, v *View) (r Report, size int) {
+// demand, as many as fit the limits.
+func (c *Client) report(now time.Time, v *View) (r Report, size int) {
 	r = Report{Process: c.self, Service: v.Service, At: now, Slots: v.Slots}
 	demands := merged(v.Demands)
 	slices.SortFunc(demands, func(a, b Demand) int {
@@ -48,9 +47,6 @@
 	for i := listed; i < len(demands); i++ {
 		r.Rest += demands[i].total()
 	}
-	if s.pressed && r.total() == 0 {
-		r.Rest = 1
-	}
 	return r, size
 }
 
--- a/internal/policy/fairshare/simulation_test.go
+++ b/internal/policy/fairshare/simulation_test.go
@@ -33,7 +33,8 @@
 	refused   int
 	served    map[string]int
 	asked     map[string]int
-	limited   bool // the processes observe their allotments
+	waits     map[*customer][]time.Duration // of the requests that were started
+	limited   bool                          // the processes observe their allotments
 }
 
 // message is something that happens later.
@@ -52,6 +53,8 @@
 	fullAt    time.Time
 	retryAt   time.Time
 	inFlight  int
+	fixed     int // limit of its requests without a division; 0: none
+	reserve   int // slots that it leaves to others
 	changes   []fairshare.Change
 	reports   int
 }
@@ -60,6 +63,7 @@
 type customer struct {
 	name     string
 	rate     float64 // requests per second
+	patient  bool    // its requests wait for any time
 	waiting  []time.Time
 	inFlight int
 	startAt  time.Time // when its last request started
@@ -67,7 +71,7 @@
 
 func newSimulation(processes, slots int) *simulation {
 	s := &simulation{
-		now: start, rnd: rand.New(rand.NewPCG(7, 11)), slots: slots, limited: true, served: map[string]int{}, asked: map[string]int{},
+		now: start, rnd: rand.New(rand.NewPCG(7, 11)), slots: slots, limited: true, served: map[string]int{}, asked: map[string]int{}, waits: map[*customer][]time.Duration{},
 		workers: map[string]*fairshare.Table{"w0": fairshare.NewTable(), "w1": fairshare.NewTable()},
 	}
 	for i := range processes {
@@ -120,7 +124,7 @@
 			c.waiting = append(c.waiting, s.now)
 			s.asked[c.name]++
 		}
-		c.waiting = slices.DeleteFunc(c.waiting, func(at time.Time) bool { return s.now.Sub(at) > patience })
+		c.waiting = slices.DeleteFunc(c.waiting, func(at time.Time) bool { return !c.patient && s.now.Sub(at) > patience })
 	}
 }
 
@@ -129,7 +133,7 @@
 	if s.now.Sub(start)%checkEvery != 0 {
 		return
 	}
-	v := fairshare.View{Service: service, Slots: s.slots, InFlight: p.inFlight, FullAt: p.fullAt}
+	v := fairshare.View{Service: service, Slots: s.slots - p.reserve, InFlight: p.inFlight, FullAt: p.fullAt}
 	for _, c := range p.customers {
 		if c.inFlight+len(c.waiting) > 0 {
 			v.Demands = append(v.Demands, fairshare.Demand{Customer: c.name, Weight: 1, InFlight: c.inFlight, Waiting: len(c.waiting)})
@@ -172,6 +176,9 @@
 		if slots, known := p.client.Slots(s.now, service); s.limited && known && p.inFlight >= slots {
 			return
 		}
+		if !s.limited && p.fixed > 0 && p.inFlight >= p.fixed {
+			return
+		}
 		c := s.next(p)
 		if c == nil {
 			return
@@ -182,6 +189,7 @@
 			return
 		}
 		s.busy = append(s.busy, s.now.Add(work))
+		s.waits[c] = append(s.waits[c], s.now.Sub(c.waiting[0]))
 		c.waiting, c.startAt = c.waiting[1:], s.now
 		c.inFlight++
 		p.inFlight++
