--- a/internal/agentless/batchrun/runs.go
+++ b/internal/agentless/batchrun/runs.go
@@ -114,7 +114,7 @@
 			o.scored(j, now, i, batch.ScoreRetryable, "", 0)
 			return
 		}
-		request := endpoints.Request{Now: now, RequireFreeSlot: true, Background: true}
+		request := endpoints.Request{Now: now, RequireFreeSlot: true}
 		if last != "" {
 			request.Tried = []string{last}
 		}
@@ -127,7 +127,8 @@
 		if request.Only = admission.Only; len(request.Only) == 1 {
 			request.Tried = nil // the only endpoint that may run a suspect
 		}
-		pick := o.Directory.Pick(service, request)
+		call := scoreCall{service: service, customer: j.job.Spec.Customer}
+		pick := o.pickScorer(j, call, request)
 		if pick == nil {
 			admission.Ended()
 			o.scored(j, now, i, batch.ScoreRetryable, "", route.MaxAttempts)
@@ -137,7 +138,13 @@
 		j.job.SetScoringEndpoint(i, pick.ID)
 		j.mu.Unlock()
 		admission.Started(pick.ID)
-		o.runs.Go(func() error { defer admission.Ended(); o.score(j, i, pick, route.MaxAttempts); return nil })
+		o.runs.Go(func() error {
+			defer admission.Ended()
+			o.score(j, i, pick, route.MaxAttempts)
+			o.scoreDemand.ended(call)
+			o.wakeDispatch()
+			return nil
+		})
 	}
 }
 
@@ -177,7 +184,6 @@
 		}
 		events.ItemScoreLost.Log(o.Log, fields)
 	}
-	o.wakeDispatch()
 }
 
 // scorerFingerprint returns the fingerprint of a scoring call's content.
--- a/internal/agentless/mechanism/mechanism.go
+++ b/internal/agentless/mechanism/mechanism.go
@@ -73,6 +73,8 @@
 	// SpareEndpoints keeps requests under which an endpoint ended off the last healthy endpoints
 	// of their service.
 	SpareEndpoints Mechanism = "spare-endpoints"
+	// ShareSlots divides the slots of a service under pressure between processes.
+	ShareSlots Mechanism = "share-slots"
 )
 
 // All returns every mechanism, sorted.
@@ -80,7 +82,7 @@
 	all := []Mechanism{
 		Hedges, SetAside, OwnPreference, NearFirst, MoveSlow, MoveCrowded, LongestFirst, SpareLast, ByDelay, KeepNarrow, PlaceByTime, ShareLoad,
 		LearnSpeeds, LearnLengths, WholeSteps, TextJournal, TextCopies, CacheResults, ReadNear, AlternateLoads, TellLoads, TakeOver, StandbyRuns, Relay,
-		SpareEndpoints,
+		SpareEndpoints, ShareSlots,
 	}
 	sort.Slice(all, func(i, j int) bool { return all[i] < all[j] })
 	return all
