Quarantine: log and observe only what concerns suspects; the path with agents is unchanged

A further crash of a quarantined request updated the registry on the path with agents, too, which decided nothing new there before. An endpoint that was stopped on purpose and started again later counted as a slow restart.

Ruled out: dropping the copies' count from quarantine.held; it counts every copy that is not sent now.

Change: decisions name suspects; the update is limited to attributed ends; only endpoints that are known to have ended are observed.

--- a/internal/agentless/quarantine/fleet.go
+++ b/internal/agentless/quarantine/fleet.go
@@ -71,15 +71,15 @@
 	}
 }
 
-// listed records a listed endpoint. A restart is observed if it is another incarnation than the one
-// that ended.
+// listed records a listed endpoint. A restart is observed if it is another incarnation than one that
+// is known to have ended; one that merely left the list may have been stopped on purpose.
 func (f *fleet) listed(now time.Time, e *deployment.Endpoint) {
 	known, found := f.absences[e.ID]
 	if !found || known.startedAtMillis == e.StartedAtMillis {
 		return
 	}
 	delete(f.absences, e.ID)
-	if took := now.Sub(known.at); took > 0 && took < absenceTTL {
+	if took := now.Sub(known.at); known.startedAtMillis != 0 && took > 0 && took < absenceTTL {
 		f.restart += time.Duration(restartWeight * float64(took-f.restart))
 	}
 }
--- a/internal/agentless/quarantine/spare.go
+++ b/internal/agentless/quarantine/spare.go
@@ -73,7 +73,7 @@
 }
 
 // Admit decides whether one more copy of a request may be sent now, and where. It may take
-// probeTimeout if the request was sent to a suspect's only endpoint already.
+// probeTimeout for each endpoint that didn't run a suspect when it was sent there.
 func (q *Quarantine) Admit(c Copy) *Admission {
 	if q == nil {
 		return &Admission{Admitted: true}
@@ -81,6 +81,9 @@
 	if !q.sparesEndpoints() {
 		return q.admitByLimit(c)
 	}
+	if c.InFlight >= poison.SharedConfig().UnattributedCrashes {
+		return &Admission{} // as many copies run as may end endpoints
+	}
 	return q.admission(c, q.decideTried(c))
 }
 
@@ -132,9 +135,6 @@
 	now := time.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if c.InFlight >= poison.SharedConfig().UnattributedCrashes {
-		return poison.Decision{Reason: "enough copies run"}, view
-	}
 	q.applySwitch()
 	look := func() poison.Service {
 		view = q.view(now, &c)
@@ -191,7 +191,7 @@
 		jitter = wait / 2
 	}
 	wait += rand.N(max(minHoldDelay, min(jitter, wait/2)))
-	if now.Sub(q.heldLogs[c.Fingerprint]) < holdLogInterval {
+	if !d.Suspect || now.Sub(q.heldLogs[c.Fingerprint]) < holdLogInterval {
 		return wait
 	}
 	if len(q.heldLogs) >= maxHoldLogs {
--- a/internal/policy/poison/poison.go
+++ b/internal/policy/poison/poison.go
@@ -14,7 +14,10 @@
 //
 // Without agents beside the endpoints nobody knows all requests that ran at a crash,
 // and requests can't be made to run alone. There the number of crashes since the last
-// answer decides; see Config.UnattributedCrashes.
+// answer decides; see Config.UnattributedCrashes. A request that is retried at once
+// then crashes all endpoints of a service of three within half a second, and harmless
+// requests that ran beside it count like it. Registry.Decide limits where such a request
+// may be sent by the endpoints that are left, and tells it apart from the others.
 package poison
 
 import (
@@ -225,9 +228,12 @@
 		s = &suspect{}
 		r.quarantinedSuspects[id] = s
 	}
-	if r.add(s, c) {
-		s.last = now
-		r.updateQuarantine(now)
+	if !r.add(s, c) {
+		return
+	}
+	s.last = now
+	if r.attribute {
+		r.updateQuarantine(now) // the end may tell it apart from another request, or show that one ran at all its ends
 	}
 }
 
--- a/internal/policy/poison/spare.go
+++ b/internal/policy/poison/spare.go
@@ -49,6 +49,7 @@
 	Quarantined bool
 	Until       time.Time // when it may be sent; zero: when an endpoint is back or a copy has ended
 	Reason      string
+	Suspect     bool // an endpoint ended under it
 	// Settled is the time from which waiting for the decision to change is of no use: reports by
 	// other processes have arrived by then, or copies of this process take longer than usual.
 	Settled time.Time
@@ -103,24 +104,24 @@
 	}
 	switch {
 	case len(copies[id.Fingerprint]) > 0:
-		return Decision{Reason: "another copy runs", Settled: now.Add(settleTime)}
+		return Decision{Suspect: true, Reason: "another copy runs", Settled: now.Add(settleTime)}
 	case len(view.Healthy) == 0:
-		return Decision{Reason: "no endpoint is healthy"}
+		return Decision{Suspect: true, Reason: "no endpoint is healthy"}
 	case outweighed:
 		return Decision{Admitted: true}
 	case len(view.Healthy) == 1 && view.Size > 1:
-		return Decision{Reason: "one endpoint is healthy", Settled: r.suspects[id].last.Add(settleTime)}
+		return Decision{Suspect: true, Reason: "one endpoint is healthy", Settled: r.suspects[id].last.Add(settleTime)}
 	}
 	endpoint := isolation(id, &view)
 	if endpoint == "" {
-		return Decision{Reason: "its endpoint did not run it"}
+		return Decision{Suspect: true, Reason: "its endpoint did not run it"}
 	}
 	if r.suspectRuns(id, endpoint, ends, copies) {
-		return Decision{Reason: "another suspect runs", Settled: now.Add(settleTime)}
+		return Decision{Suspect: true, Reason: "another suspect runs", Settled: now.Add(settleTime)}
 	}
 	if len(tied) > 1 && (len(ends) > 1 || view.Size < smallService) {
 		if start := nextTurn(now, slices.Index(tied, id), len(tied)); start.After(now) {
-			return Decision{Until: start, Reason: "others ran at the same ends"}
+			return Decision{Suspect: true, Until: start, Reason: "others ran at the same ends"}
 		}
 	}
 	if view.Engines && view.Size > smallService {
