--- a/internal/agentless/modelrun/fast_test.go
+++ b/internal/agentless/modelrun/fast_test.go
@@ -1,7 +1,6 @@
 package modelrun_test
 
 import (
-	"bytes"
 	"context"
 	"net"
 	"net/rpc"
@@ -10,6 +9,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
@@ -46,34 +46,10 @@
 	return e.ordered[0]
 }
 
-// syncBuffer is a buffer that components write to while a spec reads it.
-type syncBuffer struct {
-	mu  sync.Mutex
-	buf bytes.Buffer
-}
-
-func (b *syncBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.buf.Write(p)
-}
-
-func (b *syncBuffer) String() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.buf.String()
-}
-
-func (b *syncBuffer) reset() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.buf.Reset()
-}
-
 var _ = Describe("the report of fast engines", func() {
 	const duty = "live/duty/weights"
 	ids := []string{"e0", "e1", "e2", "e3"}
-	var logged syncBuffer
+	var logged *gbytes.Buffer
 
 	// start starts a worker that holds the duty and plans the loads of four engines.
 	start := func(disabled ...mechanism.Mechanism) (*modelrun.Runner, *namedEngines, *cluster.Members) {
@@ -83,8 +59,8 @@
 			d.Put(deployment.Endpoint{ID: id, Service: "llm", Address: "x:1", StartedAtMillis: 1, Versions: map[string]int64{"m": 1}})
 		}
 		log := logrus.New()
-		logged.reset()
-		log.SetOutput(&logged)
+		logged = gbytes.NewBuffer()
+		log.SetOutput(logged)
 		e := &namedEngines{}
 		switches := &mechanism.Switches{}
 		switches.SetDisabled(disabled)
@@ -134,7 +110,7 @@
 		r, _, _ := start()
 		r.RecordFast(modelrun.FastArgs{From: "b", Model: "m", Engines: make([]string, 5000)})
 		Expect(modelrun.HasFastReport(r, "llm")).To(BeFalse())
-		Expect(logged.String()).To(And(ContainSubstring("from=b"), ContainSubstring("field=Engines")))
+		Expect(string(logged.Contents())).To(And(ContainSubstring("from=b"), ContainSubstring("field=Engines")))
 	})
 
 	It("is not used if the mechanism is disabled", func() {
--- a/internal/lab/steps/steps.go
+++ b/internal/lab/steps/steps.go
@@ -13,8 +13,6 @@
 	"slices"
 	"time"
 
-	"gonum.org/v1/gonum/stat/distuv"
-
 	"siskinloom.example/siskinloom/internal/deployment"
 	"siskinloom.example/siskinloom/internal/policy/batch"
 	"siskinloom.example/siskinloom/internal/policy/endpoints"
@@ -206,65 +204,6 @@
 	}
 }
 
-// draw draws the texts of a step and their estimates.
-func (w *world) draw(index int, t *trainer) *job {
-	body := distuv.LogNormal{Mu: 0, Sigma: lengthSigma, Src: w.random}
-	errs := distuv.LogNormal{Mu: 0, Sigma: hintSigma, Src: w.random}
-	scale := t.MeanEvents / body.Mean()
-	spec := &batch.Spec{ID: fmt.Sprintf("t%d-%d", index, t.submitted), Model: model, WantGroups: t.WantGroups, Submitted: w.now}
-	j := &job{trainer: index, step: t.submitted, submitted: w.now}
-	j.resubmitted = min(len(t.incomplete), t.WantGroups/2)
-	earlier := t.incomplete[:j.resubmitted]
-	t.incomplete = t.incomplete[j.resubmitted:]
-	for g := range t.Groups {
-		for k := range t.GroupSize {
-			events := drawLength(scale*body.Rand(), w.random.Float64() < longShare, t.MaxEvents)
-			if g < len(earlier) {
-				events = earlier[g][k]
-			}
-			j.lengths = append(j.lengths, events)
-			spec.Items = append(spec.Items, batch.Item{
-				ID: fmt.Sprintf("%s-%d", spec.ID, len(spec.Items)), Group: fmt.Sprint(g),
-				LengthHint: max(1, int(float64(events*tokensPerEvent)*errs.Rand())), MaxTokens: int(t.MaxEvents) * tokensPerEvent,
-			})
-		}
-	}
-	j.Job = batch.NewJob(spec, nil)
-	j.SetEstimator(w.lengths)
-	t.MinStepTimes = append(t.MinStepTimes, time.Duration(requiredEvents(j, t.Trainer))*w.load.EventTime)
-	return j
-}
-
-func drawLength(length float64, long bool, maxEvents int64) int64 {
-	if long {
-		length *= longFactor
-	}
-	return min(maxEvents, max(1, int64(length)))
-}
-
-// requiredEvents returns the events of the longest text that a step needs: it leaves
-// out the groups with the longest texts, as many as the step can do without.
-func requiredEvents(j *job, t Trainer) int64 {
-	longest := make([]int64, t.Groups)
-	for i, events := range j.lengths {
-		longest[i/t.GroupSize] = max(longest[i/t.GroupSize], events)
-	}
-	for range t.Groups - t.WantGroups {
-		longestGroup := j.resubmitted
-		for g := j.resubmitted; g < len(longest); g++ {
-			if longest[g] > longest[longestGroup] {
-				longestGroup = g
-			}
-		}
-		longest[longestGroup] = 0
-	}
-	maxEvents := int64(0)
-	for _, events := range longest {
-		maxEvents = max(maxEvents, events)
-	}
-	return maxEvents
-}
-
 // dispatch starts runs while there is room, as an owner of all jobs does.
 func (w *world) dispatch() {
 	pace := w.set.TypicalPace()
@@ -381,77 +320,6 @@
 	return false
 }
 
-// eventTime returns the time of the next event of a run at the engine.
-func (w *world) eventTime(e *endpoints.State) time.Duration {
-	event := float64(w.load.EventTime)
-	if w.fast[e.ID] {
-		event = float64(w.load.FastEventTime)
-	}
-	if w.load.NoiseShare > 0 && w.isNoisy(e.ID, int(w.now.Sub(w.start)/noiseInterval)) {
-		event *= w.load.NoiseFactor
-	}
-	return time.Duration(event * (1 + w.load.Slowdown*float64(e.InFlight-1)/float64(w.load.Slots)))
-}
-
-// isNoisy reports whether an engine is slower in an interval.
-func (w *world) isNoisy(id string, interval int) bool {
-	for len(w.noise[id]) <= interval {
-		w.noise[id] = append(w.noise[id], w.random.Float64() < w.load.NoiseShare)
-	}
-	return w.noise[id][interval]
-}
-
-// observe records the time of an event. Engines of equal speed are observed with each event,
-// others as in the product, at the end of a run.
-func (r *run) observe(seconds float64, uneven bool) {
-	r.generated++
-	if r.generated == 1 {
-		r.pace = seconds
-	}
-	r.pace += (seconds - r.pace) * paceWeight
-	if !uneven {
-		r.engine.ObservePace(seconds)
-	}
-}
-
-// move moves a run if it should move, and reports whether it did.
-func (w *world) move(r *run) bool {
-	if _, byTime := w.set.UnevenSpeeds(w.now); byTime {
-		return r.generated > moveCheckEvents && r.generated%slowCheckEvents == 0 && w.moveByTime(r)
-	}
-	if r.events%moveCheckEvents == 0 && w.shouldMove(r) || w.load.uneven() && w.isTooSlow(r) {
-		w.end(r, batch.RunCancelledToMove)
-		return true
-	}
-	return false
-}
-
-// moveByTime moves a run to an engine where its text ends sooner.
-func (w *world) moveByTime(r *run) bool {
-	speeds, _ := w.set.UnevenSpeeds(w.now)
-	request := endpoints.Request{Now: w.now, Model: model, MinVersion: 1, Tried: w.loadingEngines(r.job)}
-	view := schedule.Job{Age: w.now.Sub(r.job.submitted).Seconds(), EventSeconds: speeds.Fast, TypicalSeconds: w.set.RunSeconds(r.engine, endpoints.Measured{})}
-	remaining := r.job.RemainingWork(r.item)
-	spare := r.job.Spare(r.item)
-	request.Placement = endpoints.Placement{RemainingWork: remaining, Weight: w.totalLoad.Weight(&view, remaining, spare), Critical: w.totalLoad.WaitsFor(&view, remaining, spare)}
-	move, found := w.set.PickFaster(request, r.engine, endpoints.Run{MoveSeconds: w.load.PromptTime.Seconds(), Promised: r.promised})
-	if !found {
-		return false
-	}
-	w.end(r, batch.RunCancelledToMove)
-	w.begin(r.job, r.item, move.To, request.Placement, move.UnitSeconds)
-	return true
-}
-
-// isTooSlow reports whether a run should move to a faster engine, by its own pace.
-func (w *world) isTooSlow(r *run) bool {
-	if r.generated < moveCheckEvents || r.generated%slowCheckEvents != 0 {
-		return false
-	}
-	request := endpoints.Request{Now: w.now, Model: model, MinVersion: 1, Tried: w.loadingEngines(r.job)}
-	return w.set.HasFaster(request, r.engine, r.pace)
-}
-
 // shouldMove reports whether a run should move to an engine with less load.
 func (w *world) shouldMove(r *run) bool {
 	request := endpoints.Request{Now: w.now, Model: model, MinVersion: 1, Tried: w.loadingEngines(r.job)}
