gate: queue requests above a limit where customers are declared

Cause: an entry sent each request to an endpoint at once. 17 entries compete for the 18 slots of a small service, the heaviest sender gets them, and a customer's priority had no effect. Endpoints that are full refuse (503, not run); a request that all of them refused was given up.

Ruled out: a central queue (a call per request and a single point of failure); a queue per customer with a goroutine each (10,000 customers); a limiter fed with each single refusal, as an engine that loads weights refuses too and a limit of one would then hold streams back for seconds.

Change: where the declaration has customers, each service has a fair queue (policy/admission, Config.Flat) and a learned limit (policy/limit, Config.Shared) in each entry. Requests above the limit wait, ordered by their customers' shares and by priority and deadline within one customer; they are refused as not run when their deadline is out of reach, and return to the queue when all endpoints that they may be sent to are full. Retry budgets are per customer and service. Without declared customers, or with the mechanism 'admission' off, requests take the same path as before.

--- /dev/null
+++ b/internal/agentless/gate/admission_test.go
@@ -0,0 +1,389 @@
+package gate_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"siskinloom.example/siskinloom/internal/agentless/directory"
+	"siskinloom.example/siskinloom/internal/agentless/dispatch"
+	"siskinloom.example/siskinloom/internal/agentless/gate"
+	"siskinloom.example/siskinloom/internal/agentless/mechanism"
+	"siskinloom.example/siskinloom/internal/agentless/upstream"
+	"siskinloom.example/siskinloom/internal/deployment"
+	"siskinloom.example/siskinloom/internal/policy/fairshare"
+)
+
+// slotEndpoints run a number of requests each and refuse more as full, unless they accept any
+// number. A run takes a while.
+type slotEndpoints struct {
+	slots int // of one endpoint; 0: any number
+	takes func(endpoint string) time.Duration
+
+	mu      sync.Mutex
+	running map[string]int
+	most    int      // most concurrent runs of all endpoints
+	sent    []string // IDs of the requests in the order in which they were sent
+	refused int
+}
+
+// Send implements dispatch.Sender.
+func (s *slotEndpoints) Send(ctx context.Context, e *deployment.Endpoint, r *dispatch.Request) (*dispatch.Answer, error) {
+	if !s.begin(e.ID, r) {
+		return &dispatch.Answer{Status: http.StatusServiceUnavailable, NotRun: true, Body: http.NoBody}, nil
+	}
+	takes := s.takes(e.ID)
+	if strings.HasPrefix(r.ID, "filler") {
+		takes = time.Minute
+	}
+	timer := time.NewTimer(takes)
+	defer timer.Stop()
+	var err error
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		err = &upstream.SendError{Sent: true, Err: ctx.Err()}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running[e.ID]--
+	if err != nil {
+		return nil, err
+	}
+	return &dispatch.Answer{Status: http.StatusOK, Signed: true, Body: io.NopCloser(strings.NewReader(streamed("1")))}, nil
+}
+
+func (s *slotEndpoints) begin(endpoint string, r *dispatch.Request) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.running == nil {
+		s.running = map[string]int{}
+	}
+	if s.slots > 0 && s.running[endpoint] >= s.slots {
+		s.refused++
+		return false
+	}
+	s.running[endpoint]++
+	s.sent = append(s.sent, r.ID)
+	total := 0
+	for _, n := range s.running {
+		total += n
+	}
+	s.most = max(s.most, total)
+	return true
+}
+
+func (s *slotEndpoints) order() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), s.sent...)
+}
+
+func always(d time.Duration) func(string) time.Duration {
+	return func(string) time.Duration { return d }
+}
+
+// fixedShares assign the same slots to all services and customers.
+type fixedShares struct{ slots, customer int }
+
+func (f *fixedShares) Slots(string) (int, bool)                 { return f.slots, f.slots > 0 }
+func (f *fixedShares) CustomerSlots(string, string) (int, bool) { return f.customer, f.customer > 0 }
+
+// newDirectory returns a directory with endpoints of the service "app" and, if keys are required,
+// customers.
+func newDirectory(requireKeys bool, endpoints, slots int) *directory.Directory {
+	d := directory.New("self", "", nil)
+	for i := range endpoints {
+		d.Put(deployment.Endpoint{ID: string(rune('a' + i)), Service: "app", Address: "x:1", Slots: slots})
+	}
+	declared := &deployment.Declaration{Version: 1, RequireKeys: requireKeys, Routes: []deployment.Route{*route(deployment.Idempotent)}}
+	if requireKeys {
+		declared.Customers = []deployment.Customer{{Name: "large"}, {Name: "small"}}
+	}
+	d.Declare(declared)
+	return d
+}
+
+func quietLog() *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
+func from(customer, id string) *gate.Request {
+	r := request()
+	r.Customer, r.ID = customer, id
+	return r
+}
+
+var _ = Describe("requests to a service with customers", func() {
+	const takes = 20 * time.Millisecond
+	var service *slotEndpoints
+	var d *directory.Directory
+	var g *gate.Gate
+	var group sync.WaitGroup
+
+	BeforeEach(func() {
+		service = &slotEndpoints{takes: always(takes)}
+		d = newDirectory(true, 1, 2)
+		g = gate.New(d, service, quietLog(), metrics.NewRegistry())
+	})
+	AfterEach(func() { group.Wait() })
+
+	serve := func(ctx context.Context, kind deployment.Kind, r *gate.Request) chan gate.Outcome {
+		result := make(chan gate.Outcome, 1)
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			result <- g.Serve(ctx, route(kind), r)
+		}()
+		return result
+	}
+	waiting := func() int {
+		n := 0
+		for _, demand := range g.Demands("app") {
+			n += demand.Waiting
+		}
+		return n
+	}
+	// fill occupies the slots of the service until release is called.
+	fill := func(n int) (release func()) {
+		ctx, cancel := context.WithCancel(context.Background())
+		for i := range n {
+			serve(ctx, deployment.NonIdempotent, from("filler", fmt.Sprint("filler", i)))
+		}
+		Eventually(service.order).Should(HaveLen(n))
+		return cancel
+	}
+
+	It("wait while as many are in flight as the endpoints have slots, and are all served", func() {
+		// 17 entries that send all they get at once have 3 endpoints refuse most of it.
+		for i := range 20 {
+			serve(context.Background(), deployment.NonIdempotent, from("large", fmt.Sprint(i)))
+		}
+		group.Wait()
+		Expect(service.order()).To(HaveLen(20))
+		Expect(service.most).To(Equal(2))
+	})
+
+	DescribeTable("are sent at once, as before, if",
+		func(requireKeys bool, off ...mechanism.Mechanism) {
+			d = newDirectory(requireKeys, 1, 2)
+			g = gate.New(d, service, quietLog(), metrics.NewRegistry())
+			g.Switches = &mechanism.Switches{}
+			g.Switches.SetDisabled(off)
+			g.Shares = &fixedShares{slots: 1, customer: 1}
+			release := fill(20)
+			Expect(g.QueueStatus()).To(BeEmpty())
+			release()
+		},
+		Entry("no customers are declared", false),
+		Entry("the mechanism is off", true, mechanism.Admission),
+	)
+
+	It("start in an order that is fair between customers", func() {
+		release := fill(2)
+		for i := range 30 {
+			serve(context.Background(), deployment.NonIdempotent, from("large", fmt.Sprint("large", i)))
+			Eventually(waiting).Should(Equal(i + 1))
+		}
+		serve(context.Background(), deployment.NonIdempotent, from("small", "small"))
+		Eventually(waiting).Should(Equal(31))
+		release()
+		group.Wait()
+		Expect(service.order()[2:6]).To(ContainElement("small"), "not behind all that the large customer sent before")
+	})
+
+	It("start by priority within one customer", func() {
+		g.Shares = &fixedShares{slots: 1}
+		release := fill(1)
+		for i, priority := range []int{5, 0, 2} {
+			r := from("large", fmt.Sprint("p", priority))
+			r.Priority = priority
+			serve(context.Background(), deployment.NonIdempotent, r)
+			Eventually(waiting).Should(Equal(i + 1))
+		}
+		release()
+		group.Wait()
+		Expect(service.order()[1:]).To(Equal([]string{"p0", "p2", "p5"}))
+	})
+
+	It("are not sent after their caller left, and hold no slot", func() {
+		release := fill(2)
+		ctx, leave := context.WithCancel(context.Background())
+		result := serve(ctx, deployment.NonIdempotent, from("small", "left"))
+		Eventually(waiting).Should(Equal(1))
+		leave()
+		Expect((<-result).End).To(Equal(gate.Cancelled))
+		Expect(waiting()).To(BeZero())
+		release()
+		group.Wait()
+		Expect(service.order()).NotTo(ContainElement("left"))
+		Eventually(func() int { return len(g.Demands("app")) }).Should(BeZero())
+	})
+
+	It("are refused as not run if their time passes while they wait, with a time to come back", func() {
+		// 504 says that the request may have run; the caller of a non-idempotent request then
+		// can't send it again.
+		release := fill(2)
+		defer release()
+		for _, timeout := range []time.Duration{80 * time.Millisecond, time.Millisecond} {
+			r := from("small", "late")
+			r.Timeout = timeout
+			o := <-serve(context.Background(), deployment.NonIdempotent, r)
+			Expect(o.End).To(Equal(gate.Refused))
+			Expect(o.RetryAfter).To(BeNumerically(">=", 50*time.Millisecond))
+		}
+		Expect(service.order()).NotTo(ContainElement("late"))
+		Expect(g.QueueStatus()[0].Refused).To(HaveKeyWithValue("deadline", BeNumerically(">=", 1)))
+	})
+
+	// fullFor has another process hold the only slot of the endpoint.
+	fullFor := func(hold time.Duration) {
+		service.slots = 1
+		ctx, cancel := context.WithTimeout(context.Background(), hold)
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			defer cancel()
+			_, _ = service.Send(ctx, &deployment.Endpoint{ID: "a"}, &dispatch.Request{ID: "filler"})
+		}()
+		Eventually(service.order).Should(HaveLen(1))
+	}
+
+	It("return to the queue if all endpoints are full, and are sent again", func() {
+		fullFor(150 * time.Millisecond)
+		o := <-serve(context.Background(), deployment.NonIdempotent, from("small", "patient"))
+		Expect(o.End).To(Equal(gate.Answered))
+		group.Wait()
+		Expect(service.refused).To(BeNumerically(">", 1))
+		Expect(service.order()).To(Equal([]string{"filler", "patient"}))
+		Expect(g.LastFull("app")).NotTo(BeZero())
+		Expect(g.QueueStatus()[0].Learned).To(Equal(1), "refusals lower the limit")
+	})
+
+	It("are refused as not run if all endpoints stay full until the timeout", func() {
+		fullFor(300 * time.Millisecond)
+		r := from("small", "late")
+		r.Timeout = 200 * time.Millisecond
+		o := <-serve(context.Background(), deployment.Idempotent, r)
+		Expect(o.End).To(Equal(gate.Refused))
+		Expect(o.Reason).To(Equal("full"))
+		Expect(service.refused).To(BeNumerically("<", 60), "it is not sent in a tight loop")
+	})
+
+	It("are not sent again after one that may have run", func() {
+		s := &scriptedSender{replies: []reply{refusing, lost, answered}}
+		g = gate.New(d, s, quietLog(), metrics.NewRegistry())
+		Expect(g.Serve(context.Background(), route(deployment.NonIdempotent), from("small", "once")).End).To(Equal(gate.Unknown))
+		Expect(s.endpoints()).To(HaveLen(2))
+	})
+
+	It("are sent to no more endpoints than the route allows, also when they return", func() {
+		d = newDirectory(true, 6, 2)
+		s := &scriptedSender{replies: []reply{refusing, refusing, refusing, refusing, refusing, refusing, refusing, answered}}
+		g = gate.New(d, s, quietLog(), metrics.NewRegistry())
+		Expect(g.Serve(context.Background(), route(deployment.Idempotent), from("small", "q")).End).To(Equal(gate.Answered))
+		distinct := map[string]bool{}
+		for _, id := range s.endpoints() {
+			distinct[id] = true
+		}
+		Expect(distinct).To(HaveLen(3))
+	})
+
+	It("observe the slots that are assigned to the process and to a customer", func() {
+		service.takes = always(5 * time.Millisecond)
+		d.Put(deployment.Endpoint{ID: "b", Service: "app", Address: "x:1", Slots: 20})
+		g.Shares = &fixedShares{slots: 5, customer: 3}
+		for i := range 30 {
+			serve(context.Background(), deployment.NonIdempotent, from("large", fmt.Sprint(i)))
+		}
+		group.Wait()
+		Expect(service.most).To(Equal(3))
+		for i := range 60 {
+			serve(context.Background(), deployment.NonIdempotent, from([]string{"large", "small"}[i%2], fmt.Sprint(i)))
+		}
+		group.Wait()
+		Expect(service.most).To(Equal(5))
+	})
+
+	It("are served or refused at once when the process leaves", func() {
+		release := fill(2)
+		defer release()
+		result := serve(context.Background(), deployment.NonIdempotent, from("small", "waits"))
+		Eventually(waiting).Should(Equal(1))
+		g.Leave(time.Now().Add(time.Millisecond))
+		Expect(*receive(result)).To(HaveField("Reason", "leaving"))
+	})
+
+	It("keep waiting under a new declaration, also one without customers", func() {
+		release := fill(2)
+		result := serve(context.Background(), deployment.NonIdempotent, from("small", "waits"))
+		Eventually(waiting).Should(Equal(1))
+		d.Declare(&deployment.Declaration{Version: 2, RequireKeys: true})
+		d.Declare(&deployment.Declaration{Version: 3})
+		Consistently(result, "60ms").ShouldNot(Receive())
+		release()
+		Expect((<-result).End).To(Equal(gate.Answered))
+	})
+
+	It("wait as streams too, and are refused before their sink is touched", func() {
+		release := fill(2)
+		stream := func(id string, timeout time.Duration) (gate.Outcome, *sink) {
+			out := &sink{}
+			r := from("small", id)
+			r.Timeout = timeout
+			return g.Stream(context.Background(), route(deployment.Streaming), r, out), out
+		}
+		o, out := stream("late", 60*time.Millisecond)
+		Expect(o.End).To(Equal(gate.Refused))
+		Expect(out.status).To(BeZero())
+		time.AfterFunc(50*time.Millisecond, release)
+		o, out = stream("served", time.Minute)
+		Expect(o.End).To(Equal(gate.Answered))
+		Expect(out.events).To(HaveLen(1))
+		Expect(service.order()).NotTo(ContainElement("late"))
+		Expect(g.Demands("app")).To(BeEmpty())
+	})
+
+	It("spend the retries of their own customer only", func() {
+		// A customer whose requests all fail must not use up the retries of the others.
+		s := &scriptedSender{replies: []reply{lost}}
+		g = gate.New(newDirectory(true, 4, 4), s, quietLog(), metrics.NewRegistry())
+		for range 50 {
+			g.Serve(context.Background(), route(deployment.Idempotent), from("large", "fails"))
+		}
+		before := len(s.endpoints())
+		g.Serve(context.Background(), route(deployment.Idempotent), from("small", "first"))
+		Expect(len(s.endpoints()) - before).To(Equal(3))
+	})
+
+	It("are reported by customer while they wait or run", func() {
+		release := fill(2)
+		serve(context.Background(), deployment.NonIdempotent, from("small", "waits"))
+		Eventually(waiting).Should(Equal(1))
+		Expect(g.Demands("app")).To(ConsistOf(
+			fairshare.Demand{Customer: "filler", Weight: 1, InFlight: 2}, fairshare.Demand{Customer: "small", Weight: 1, Waiting: 1}))
+		status := g.QueueStatus()
+		Expect(status).To(HaveLen(1))
+		Expect(status[0]).To(And(HaveField("Limit", 2), HaveField("InFlight", 2), HaveField("Waiting", 1)))
+		release()
+		group.Wait()
+		Expect(g.Demands("app")).To(BeEmpty())
+	})
+})
+
+func receive(result chan gate.Outcome) *gate.Outcome {
+	var o gate.Outcome
+	EventuallyWithOffset(1, result, "5s").Should(Receive(&o))
+	return &o
+}
--- a/internal/agentless/gate/execution.go
+++ b/internal/agentless/gate/execution.go
@@ -15,6 +15,7 @@
 	"siskinloom.example/siskinloom/internal/agentless/upstream"
 	"siskinloom.example/siskinloom/internal/deployment"
 	"siskinloom.example/siskinloom/internal/events"
+	"siskinloom.example/siskinloom/internal/policy/admission"
 	"siskinloom.example/siskinloom/internal/policy/endpoints"
 	"siskinloom.example/siskinloom/internal/policy/poison"
 	"siskinloom.example/siskinloom/internal/policy/routes"
@@ -29,6 +30,7 @@
 	outcome  Outcome // set if complete is
 	complete bool    // the whole answer was received
 	notRun   bool    // the endpoint certainly did not run the request
+	full     string  // ID of the endpoint, if it refused the request as full
 	err      error
 	sent     time.Time // when the request was sent
 }
@@ -49,11 +51,20 @@
 	firstSentAt time.Time // when the first attempt was sent; zero: no attempt yet
 	ranSentAt   time.Time // when the earliest attempt that certainly ran was sent; zero: none did
 	failure     *Outcome  // an endpoint's 5xx answer, returned if no attempt brings a better one
+
+	queue   *serviceQueue     // nil: the request is sent without waiting for a slot
+	waiting *waiter           // the request in the queue, or nil
+	pause   *time.Timer       // ends the pause of a request that returns to the queue, or nil
+	full    []string          // endpoints of tried that refused the request as full
+	sent    []string          // endpoints that the request was sent to before it last returned to the queue
+	returns int               // how often it returned
+	refused *admission.Action // refusal by the queue, or nil
 }
 
 // newExecution returns the execution of a request that was not sent yet.
 func (g *Gate) newExecution(route *deployment.Route, r *Request) *execution {
-	return &execution{gate: g, route: route, request: r, service: routes.SelectService(route, r.ID), fingerprint: r.fingerprint()}
+	service := routes.SelectService(route, r.ID)
+	return &execution{gate: g, route: route, request: r, service: service, fingerprint: r.fingerprint(), queue: g.queueFor(service)}
 }
 
 // quarantineOutcome returns the outcome of a request that is quarantined, and whether it is.
@@ -69,12 +80,13 @@
 func (e *execution) run(ctx context.Context) Outcome {
 	ctx, cancel := context.WithCancel(ctx) // cancels the other attempts once there is an answer
 	defer cancel()
-	if !e.start(ctx) {
-		return e.gate.refusal(e.service)
+	defer e.leaveQueue()
+	if !e.requestAttempt(ctx) {
+		return e.finalOutcome()
 	}
 	hedge := time.NewTimer(e.hedgeDelay())
 	defer hedge.Stop()
-	for e.inFlight > 0 {
+	for e.pending() {
 		select {
 		case a := <-e.results:
 			e.inFlight--
@@ -85,7 +97,15 @@
 			if e.hedge(ctx) {
 				hedge.Reset(max(minHedgeDelay, time.Duration(nextHedgeObjectiveShare*float64(e.route.Objective))))
 			}
+		case <-e.turn():
+			e.takeTurn(ctx, hedge)
+		case <-e.pauseEnd():
+			e.endPause()
+			e.requestAttempt(ctx)
 		case <-ctx.Done():
+			if e.neverRan() {
+				return e.finalOutcome()
+			}
 			return Outcome{End: TimedOut}
 		}
 	}
@@ -100,6 +120,8 @@
 		return *e.failure
 	case e.mayHaveRun:
 		return Outcome{End: Unknown}
+	case e.refused != nil:
+		return queueRefusal(e.refused)
 	default:
 		return e.gate.refusal(e.service)
 	}
@@ -136,18 +158,27 @@
 		e.mayHaveRun = true
 	}
 	if ctx.Err() != nil {
+		if e.neverRan() {
+			return e.finalOutcome(), true
+		}
 		return Outcome{End: TimedOut}, true
 	}
-	if a.notRun || e.route.Repeatable() && e.gate.spendRetry(e.service) {
+	if a.full != "" {
+		e.noteFull(a.full)
+	}
+	if a.notRun || e.route.Repeatable() && e.spendRetry() {
 		e.gate.retries.Inc(1)
-		e.start(ctx)
+		if !e.requestAttempt(ctx) {
+			e.returnToQueue()
+		}
 	}
 	return Outcome{}, false
 }
 
 // start makes one more attempt and returns whether it did: the route must allow another
-// attempt, time must remain and an endpoint must be available.
-func (e *execution) start(ctx context.Context) bool {
+// attempt, time must remain and an endpoint must be available. The slot g is returned when the
+// attempt ends; if none is made, it remains with the caller.
+func (e *execution) start(ctx context.Context, g grant) bool {
 	if len(e.tried) >= e.route.MaxAttempts || !e.gate.Quarantine.Admits(e.fingerprint, e.inFlight) {
 		return false
 	}
@@ -155,7 +186,7 @@
 	if remaining <= 0 {
 		return false
 	}
-	pick := e.gate.pickEndpoint(e.service, e.request, e.tried)
+	pick := e.gate.pickEndpoint(e.service, e.request, e.excluded())
 	if pick == nil {
 		return false
 	}
@@ -168,6 +199,7 @@
 	go func() {
 		a := e.attempt(ctx, pick, remaining)
 		a.sent = now
+		g.end(time.Now(), a.result())
 		e.results <- a
 	}()
 	return true
@@ -186,18 +218,25 @@
 // hedge sends the request to one more endpoint while other attempts are pending, and returns
 // whether it did.
 func (e *execution) hedge(ctx context.Context) bool {
-	if e.inFlight == 0 || !e.gate.Switches.On(mechanism.Hedges) || !e.gate.spendRetry(e.service) {
+	if e.inFlight == 0 || e.waiting != nil || !e.gate.Switches.On(mechanism.Hedges) || !e.spendRetry() {
 		return false
 	}
-	first := e.tried[len(e.tried)-1]
-	if !e.start(ctx) {
+	first := e.lastTried()
+	if !e.requestAttempt(ctx) {
 		return false
 	}
-	e.gate.hedges.Inc(1)
-	events.AttemptHedged.Log(e.gate.log, logrus.Fields{"request": e.request.ID, "slow": first, "second": e.tried[len(e.tried)-1]})
+	if e.waiting == nil {
+		e.logHedge(first)
+	}
 	return true
 }
 
+// logHedge counts and logs a hedged attempt. first is the endpoint that is slow to answer.
+func (e *execution) logHedge(first string) {
+	e.gate.hedges.Inc(1)
+	events.AttemptHedged.Log(e.gate.log, logrus.Fields{"request": e.request.ID, "slow": first, "second": e.lastTried()})
+}
+
 // attempt sends the request to one endpoint and reads the whole answer.
 func (e *execution) attempt(ctx context.Context, pick *directory.Pick, remaining time.Duration) attempt {
 	start := time.Now()
@@ -250,7 +289,7 @@
 	body, err := readBody(answer)
 	switch {
 	case answer.NotRun || answer.Replaced:
-		return attempt{notRun: true}, refusalOutcome(answer)
+		return refusedAttempt(pick, answer), refusalOutcome(answer)
 	case err != nil:
 		return classifyError(ctx, &upstream.SendError{Sent: true, Err: err})
 	case answer.Encoded || answer.Status < http.StatusMultipleChoices && !answer.Signed:
@@ -260,6 +299,22 @@
 	return attempt{complete: true, outcome: outcome}, endpoints.Answered
 }
 
+// refusedAttempt returns the result of an attempt whose answer says that the request did not run.
+func refusedAttempt(pick *directory.Pick, answer *dispatch.Answer) attempt {
+	if answer.Replaced {
+		return attempt{notRun: true}
+	}
+	return attempt{notRun: true, full: pick.ID}
+}
+
+// result returns what the attempt tells about the time that requests take.
+func (a *attempt) result() result {
+	if a.complete && a.outcome.Status < http.StatusInternalServerError {
+		return resultAnswered
+	}
+	return resultNone
+}
+
 // refusalOutcome returns the endpoint outcome of an answer that says that the request did not run.
 func refusalOutcome(a *dispatch.Answer) endpoints.Outcome {
 	if a.Replaced {
--- a/internal/agentless/gate/gate.go
+++ b/internal/agentless/gate/gate.go
@@ -73,6 +73,7 @@
 	ResumeAfter int64         // ID of the event after which a stream resumes; 0: from its start
 
 	Customer string // customer on whose behalf it is sent; empty: none
+	Priority int    // of the customer or else the route; 0 is the highest
 }
 
 // fingerprint returns a hash of the request's content. It is the same for each time that a
@@ -102,6 +103,7 @@
 type Outcome struct {
 	End        End
 	RetryAfter time.Duration // with Refused, NotReady and Quarantined: delay before the caller should retry
+	Reason     string        // with Refused by a queue: why
 	Status     int           // with Answered
 	Header     http.Header
 	Body       []byte
@@ -115,6 +117,7 @@
 	// Current returns whether the declaration in force in this process may be the newest one;
 	// nil: always.
 	Current func() bool
+	Shares  Shares // limits this process's requests to each service; nil: only by what it learns itself
 
 	directory *directory.Directory
 	sender    dispatch.Sender
@@ -123,6 +126,11 @@
 	ends      [Quarantined + 1]metrics.Counter
 	hedges    metrics.Counter
 	retries   metrics.Counter
+	registry  metrics.Registry
+
+	queuesMu sync.RWMutex
+	queues   map[string]*serviceQueue // by service; in use where customers are declared
+	leaveBy  time.Time                // end of the process; zero: not known
 
 	mu        sync.Mutex
 	budget    *retry.Budget
@@ -132,7 +140,7 @@
 // New returns a gate that sends requests to the directory's endpoints.
 func New(d *directory.Directory, s dispatch.Sender, log *logrus.Logger, registry metrics.Registry) *Gate {
 	g := &Gate{
-		directory: d, sender: s, log: log, budget: retry.NewBudget(), lastGrant: map[string]time.Time{},
+		directory: d, sender: s, log: log, registry: registry, queues: map[string]*serviceQueue{}, budget: retry.NewBudget(), lastGrant: map[string]time.Time{},
 		latency: metrics.GetOrRegisterTimer("gate.request", registry),
 		hedges:  metrics.GetOrRegisterCounter("gate.hedges", registry),
 		retries: metrics.GetOrRegisterCounter("gate.retries", registry),
@@ -151,12 +159,17 @@
 // none. A request is served by one table from its arrival to its end.
 func (g *Gate) Table() *routes.Table { return g.directory.Table() }
 
+// timeoutOf returns the timeout of a route's requests.
+func timeoutOf(route *deployment.Route) time.Duration {
+	if route.Timeout <= 0 {
+		return defaultTimeout
+	}
+	return route.Timeout
+}
+
 // remaining returns the time until the deadline of the request.
 func (r *Request) remaining(route *deployment.Route, now time.Time) time.Duration {
-	limit := route.Timeout
-	if limit <= 0 {
-		limit = defaultTimeout
-	}
+	limit := timeoutOf(route)
 	if r.Timeout > 0 {
 		limit = min(limit, r.Timeout)
 	}
@@ -172,7 +185,7 @@
 	defer cancel()
 	e := g.newExecution(route, r)
 	e.results = make(chan attempt, route.MaxAttempts)
-	g.earnRetries(e.service)
+	e.earnRetries()
 	outcome, quarantined := e.quarantineOutcome()
 	if !quarantined {
 		outcome = e.run(limited)
@@ -180,7 +193,7 @@
 	if started := e.startedAt(); !started.IsZero() {
 		usage.CountStart(started)
 	}
-	if outcome.End == TimedOut && ctx.Err() != nil {
+	if ctx.Err() != nil && (outcome.End == TimedOut || outcome.End == Refused && e.queue != nil) {
 		outcome = Outcome{End: Cancelled}
 	}
 	g.logOutcome(route, r, e, outcome)
@@ -226,11 +239,17 @@
 	}
 	fields := logrus.Fields{
 		"request": r.ID, "route": route.Name, "service": e.service, "end": endNames[o.End], "status": o.Status,
-		"tried": e.tried, "ms": time.Since(r.Arrived).Milliseconds(), "retry_after_ms": o.RetryAfter.Milliseconds(),
+		"tried": e.allTried(), "ms": time.Since(r.Arrived).Milliseconds(), "retry_after_ms": o.RetryAfter.Milliseconds(),
 	}
 	if event == events.RequestUnknown || o.End == Quarantined {
 		fields["fingerprint"] = poison.FormatFingerprint(e.fingerprint)
 	}
+	if o.Reason != "" {
+		fields["reason"], fields["customer"] = o.Reason, r.Customer
+	}
+	if e.returns > 0 {
+		fields["returns"] = e.returns
+	}
 	event.Log(g.log, fields)
 }
 
--- a/internal/agentless/gate/stream.go
+++ b/internal/agentless/gate/stream.go
@@ -58,7 +58,7 @@
 	if !quarantined {
 		outcome = s.runAttempts(limited)
 	}
-	if limited.Err() != nil && outcome.End != Answered && !s.headersSent {
+	if limited.Err() != nil && outcome.End != Answered && !s.headersSent && !s.neverRan() {
 		outcome = Outcome{End: TimedOut}
 	}
 	if ctx.Err() != nil && outcome.End != Answered {
@@ -72,15 +72,27 @@
 // attempt remains.
 func (s *stream) runAttempts(ctx context.Context) Outcome {
 	for len(s.tried) < s.route.MaxAttempts && ctx.Err() == nil && s.gate.Quarantine.Admits(s.fingerprint, 0) {
-		pick := s.gate.pickEndpoint(s.service, s.request, s.tried)
+		g, granted := s.awaitSlot(ctx)
+		if !granted {
+			break
+		}
+		pick := s.gate.pickEndpoint(s.service, s.request, s.excluded())
 		if pick == nil {
+			g.end(time.Now(), resultNone)
+			if s.awaitReturn(ctx) {
+				continue
+			}
 			break
 		}
 		s.tried = append(s.tried, pick.ID)
 		outcome, retry := s.attempt(ctx, pick)
+		g.end(time.Now(), s.result(outcome))
 		if !retry {
 			return outcome
 		}
+		if len(s.tried) >= s.route.MaxAttempts {
+			s.awaitReturn(ctx)
+		}
 	}
 	if s.headersSent {
 		return Outcome{End: Interrupted}
@@ -88,6 +100,57 @@
 	return s.finalOutcome()
 }
 
+// awaitSlot waits for a slot of the service. granted is false if the queue refused the stream, or
+// its caller left or its time passed before. A stream that has begun continues before others
+// begin: its caller has a part of the answer.
+func (s *stream) awaitSlot(ctx context.Context) (g grant, granted bool) {
+	if s.queue == nil {
+		return grant{}, true
+	}
+	c, ok := s.claim()
+	if !ok {
+		return grant{}, false
+	}
+	c.extra = s.mayHaveRun && !s.headersSent
+	g, w := s.queue.acquire(time.Now(), c)
+	if w == nil {
+		return g, true
+	}
+	select {
+	case <-w.decided:
+	case <-ctx.Done():
+	}
+	if ctx.Err() != nil {
+		s.queue.abandon(time.Now(), w)
+		return grant{}, false
+	}
+	s.refused = w.refused
+	return w.grant, w.refused == nil
+}
+
+// awaitReturn waits until a stream that endpoints refused as full may be sent again. It returns
+// false if it may not.
+func (s *stream) awaitReturn(ctx context.Context) bool {
+	if !s.returnToQueue() {
+		return false
+	}
+	defer s.endPause()
+	select {
+	case <-s.pause.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// result returns what the stream's last attempt tells about the time that streams take.
+func (s *stream) result(outcome Outcome) result {
+	if outcome.End == Answered {
+		return resultStreamed
+	}
+	return resultNone
+}
+
 // attempt has one endpoint serve the stream, resuming after the last event. retry is true if
 // another endpoint may continue the stream.
 func (s *stream) attempt(ctx context.Context, pick *directory.Pick) (outcome Outcome, retry bool) {
@@ -105,6 +168,9 @@
 		s.reportLoss(pick, a, endpointOutcome)
 	}
 	s.logFailure(pick, a.err, a.notRun)
+	if a.full != "" {
+		s.noteFull(a.full)
+	}
 	s.mayHaveRun = s.mayHaveRun || !a.notRun
 	if !a.notRun && !s.route.Repeatable() {
 		if s.headersSent {
@@ -131,7 +197,7 @@
 	}
 	defer func() { _ = answer.Body.Close() }()
 	if answer.NotRun || answer.Replaced {
-		return Outcome{}, attempt{notRun: true}, refusalOutcome(answer)
+		return Outcome{}, refusedAttempt(pick, answer), refusalOutcome(answer)
 	}
 	if answer.Status != http.StatusOK {
 		return s.plainAnswer(answer)
--- a/internal/agentless/mechanism/mechanism.go
+++ b/internal/agentless/mechanism/mechanism.go
@@ -63,6 +63,9 @@
 	TakeOver Mechanism = "take-over"
 	// StandbyRuns has the standby of a failed owner run the job while the store is unreachable.
 	StandbyRuns Mechanism = "standby-runs"
+	// Admission has requests above a learned limit wait, in an order that is fair between the
+	// declared customers.
+	Admission Mechanism = "admission"
 	// Relay reaches the store through other processes.
 	Relay Mechanism = "relay"
 )
@@ -71,7 +74,7 @@
 func All() []Mechanism {
 	all := []Mechanism{
 		Hedges, SetAside, OwnPreference, NearFirst, MoveSlow, MoveCrowded, LongestFirst, SpareLast, ByDelay, KeepNarrow, ShareLoad,
-		LearnLengths, WholeSteps, TextJournal, TextCopies, CacheResults, ReadNear, AlternateLoads, TellLoads, TakeOver, StandbyRuns, Relay,
+		LearnLengths, WholeSteps, TextJournal, TextCopies, CacheResults, ReadNear, AlternateLoads, TellLoads, TakeOver, StandbyRuns, Relay, Admission,
 	}
 	sort.Slice(all, func(i, j int) bool { return all[i] < all[j] })
 	return all
--- a/internal/agentless/node/stop.go
+++ b/internal/agentless/node/stop.go
@@ -40,6 +40,9 @@
 		timer := time.NewTimer(max(0, noticePeriod))
 		defer timer.Stop()
 		<-timer.C
+		if end, limited := ctx.Deadline(); limited {
+			n.gate.Leave(end)
+		}
 		n.shutdown(ctx, s.callers)
 	}
 	n.usage.flush(ctx)
--- a/internal/policy/admission/admission.go
+++ b/internal/policy/admission/admission.go
@@ -8,6 +8,22 @@
 // gains over another by declaring a higher priority. Rollouts get the capacity that
 // deadline requests leave, by the same weights, and are preempted for them.
 //
+// With Config.Flat the package orders the requests of one platform process for a whole service.
+// The differences, each with the load that causes it:
+//   - Principals are customers, without levels below. With 10,000 customers, three nodes each
+//     would take three times the memory.
+//   - A request of higher priority starts before those of other customers, but only until its
+//     customer is ahead of its share by Config.Lead. Customers with a high priority may be as
+//     large as all others together, and without the bound the others would be starved.
+//   - A request that starts at once takes a Slot instead of an entry of the queue (TryStart). Outside of an
+//     overload, which is nearly always, requests then cost no allocation.
+//   - Retries and hedges (Item.Extra) start only when no first attempt waits. When two of three
+//     endpoints are slow, every request wants a second attempt and there is no capacity for it.
+//   - A customer may be limited to a number of slots (SetCap), because its other requests hold slots
+//     of the same service through other processes.
+//   - A full queue drops the newest request of the customer with the most waiting work. The
+//     customer is found without a pass over all, as a flood fills the queue with each request.
+//
 // The package reads no clock: every call takes the time and returns the actions to
 // carry out. The returned slice is valid until the next call.
 package admission
@@ -27,6 +43,8 @@
 	Cost      float64   // estimated time in seconds that the request holds a slot
 	TailCost  float64   // time in seconds that most such requests do not exceed; 0: Cost
 	Rollout   bool
+	Extra     bool // with Config.Flat: a retry or hedge; it starts when no first attempt waits
+	Returned  bool // with Config.Flat: endpoints refused it as full, so it keeps its place before newer requests
 	Suspect   bool // must run alone: it starts when nothing else runs, and nothing starts while it runs
 }
 
@@ -65,6 +83,12 @@
 	Weights map[wire.Principal]float64
 	// Rates holds the rate limits of callers, by the full Principal.
 	Rates map[wire.Principal]Rate
+	// Flat is set for a queue of customers: principals with only Business set. See the package
+	// comment.
+	Flat bool
+	// Lead is the slot time in seconds by which a customer may get ahead of others because of the
+	// priority of its requests. With Flat only.
+	Lead float64
 }
 
 // Load describes how busy the queue is.
--- a/internal/policy/admission/entry.go
+++ b/internal/policy/admission/entry.go
@@ -24,6 +24,8 @@
 	latestStart time.Time // latest start time that can still meet the deadline
 	index       int       // in its lane
 	expiryIndex int       // in the expiry heap; NotInHeap: it has no deadline or does not wait
+	newer       *entry    // neighbours in its lane by arrival
+	older       *entry
 }
 
 // updateLatestStart computes the latest time at which the request can start. It uses
--- a/internal/policy/admission/queue.go
+++ b/internal/policy/admission/queue.go
@@ -38,8 +38,8 @@
 		cfg:          cfg,
 		slots:        cfg.Slots,
 		agents:       1,
-		deadlineTree: newTree(cfg.Weights),
-		rolloutTree:  newTree(cfg.Weights),
+		deadlineTree: newTree(cfg),
+		rolloutTree:  newTree(cfg),
 		entries:      map[string]*entry{},
 		expiry:       indexheap.New(earlierLatestStart, func(e *entry) *int { return &e.expiryIndex }),
 		limiters:     map[wire.Principal]*rate.Limiter{},
@@ -98,6 +98,11 @@
 		return q.actions
 	}
 	q.enqueue(e)
+	if q.cfg.Flat {
+		q.dispatch(now)
+		q.shedNewest(e)
+		return q.actions
+	}
 	if t.root.queued > q.cfg.QueueLimit && q.running >= q.slots {
 		q.shed(t, e)
 	}
@@ -186,13 +191,17 @@
 }
 
 // Idle reports whether no request waits or runs.
-func (q *Queue) Idle() bool { return len(q.entries) == 0 }
+func (q *Queue) Idle() bool { return len(q.entries) == 0 && q.running == 0 }
 
 // Load returns how busy the queue is.
 func (q *Queue) Load() Load {
+	queued := q.deadlineTree.root.queued + q.rolloutTree.root.queued
+	if q.pendingAlone != nil {
+		queued++
+	}
 	return Load{
 		Running:       q.running,
-		Queued:        len(q.entries) - q.running,
+		Queued:        queued,
 		Rollouts:      len(q.preemptible) + q.rolloutTree.root.queued,
 		Slots:         q.slots,
 		QueuedSeconds: q.deadlineTree.root.queuedCost / float64(max(q.slots, 1)),
@@ -246,6 +255,7 @@
 	e.started = true
 	e.startedAt = now
 	q.running++
+	q.treeOf(e.item).addRunning(e.leaf, 1)
 	if e.item.Suspect {
 		q.runningAlone = e
 	}
@@ -274,6 +284,7 @@
 	}
 	held := now.Sub(e.startedAt).Seconds()
 	q.treeOf(e.item).charge(e.leaf, held-e.cost)
+	q.treeOf(e.item).addRunning(e.leaf, -1)
 }
 
 func (q *Queue) dropPreemptible(e *entry) {
--- a/internal/policy/admission/refuse.go
+++ b/internal/policy/admission/refuse.go
@@ -57,6 +57,9 @@
 // than for all waiting work. If deadline requests hold all slots, half of their cost is
 // added.
 func (q *Queue) estimatedWait(e *entry) float64 {
+	if q.cfg.Flat {
+		return q.estimatedTurn(e)
+	}
 	slots := float64(max(q.slots, 1))
 	ahead := e.leaf.costAhead(e.item.Priority)
 	wait := min(ahead/(slots*e.leaf.share()), q.treeOf(e.item).root.queuedCost/slots)
@@ -83,6 +86,9 @@
 
 // canStartNow reports whether a slot is free and no request waits for it.
 func (q *Queue) canStartNow(e *entry) bool {
+	if q.cfg.Flat {
+		return q.mayStart(e.leaf)
+	}
 	free := q.running < q.slots && q.pendingAlone == nil && q.runningAlone == nil
 	return free && q.treeOf(e.item).root.queued == 0
 }
--- a/internal/policy/admission/tree.go
+++ b/internal/policy/admission/tree.go
@@ -27,6 +27,7 @@
 	queued     int     // waiting requests in the subtree
 	queuedCost float64 // their estimated cost in seconds
 	lanes      []*lane // of a caller, highest priority first
+	customer           // with Config.Flat
 }
 
 // lane holds the waiting requests of one caller and priority, earliest deadline first.
@@ -34,6 +35,8 @@
 	priority int
 	cost     float64
 	entries  *indexheap.Heap[*entry]
+	newest   *entry // last arrival
+	oldest   *entry
 }
 
 // tree orders waiting requests by hierarchical fair queueing.
@@ -41,10 +44,15 @@
 	root    *node
 	weights map[wire.Principal]float64
 	order   uint64 // activations so far
+	flatTree
 }
 
-func newTree(weights map[wire.Principal]float64) *tree {
-	return &tree{root: newNode(nil, 1), weights: weights}
+func newTree(cfg Config) *tree {
+	t := &tree{root: newNode(nil, 1), weights: cfg.Weights}
+	if cfg.Flat {
+		t.makeFlat(cfg.Lead)
+	}
+	return t
 }
 
 func newNode(parent *node, weight float64) *node {
@@ -56,6 +64,9 @@
 	}
 }
 
+// hasActive reports whether a child may be served.
+func (n *node) hasActive() bool { return n.active != nil && n.active.Len() > 0 }
+
 // lowerStartTag orders nodes by start tag, then by activation.
 func lowerStartTag(a, b *node) bool {
 	if a.startTag != b.startTag {
@@ -75,6 +86,9 @@
 // leaf returns the caller's node and creates it if needed. Only declared callers occur,
 // which bounds the tree.
 func (t *tree) leaf(p wire.Principal) *node {
+	if t.flat {
+		return t.customer(p.Business)
+	}
 	business := t.child(t.root, p.Business, wire.Principal{Business: p.Business})
 	agency := t.child(business, p.Agency, wire.Principal{Business: p.Business, Agency: p.Agency})
 	return t.child(agency, p.Caller, p)
@@ -98,6 +112,7 @@
 	t.weights = weights
 	for business, b := range t.root.children {
 		t.setWeight(b, wire.Principal{Business: business})
+		t.fixBacklog(b)
 		for agency, a := range b.children {
 			t.setWeight(a, wire.Principal{Business: business, Agency: agency})
 			for caller, c := range a.children {
@@ -118,37 +133,42 @@
 // push adds a waiting request.
 func (t *tree) push(e *entry) {
 	leaf := e.leaf
-	lane := leaf.lane(e.item.Priority)
+	lane := leaf.lane(e.lanePriority())
 	lane.entries.Push(e)
+	lane.link(e)
 	lane.cost += e.cost
 	for n := leaf; n != nil; n = n.parent {
 		n.queued++
 		n.queuedCost += e.cost
 		t.activate(n)
 	}
+	t.fixBacklog(leaf)
+	t.fixKey(leaf)
 }
 
 // activate makes an idle node compete among its parent's children.
 func (t *tree) activate(n *node) {
-	if n.parent == nil || n.index >= 0 {
+	if n.parent == nil || n.index >= 0 || n.capped() {
 		return
 	}
 	n.startTag = max(n.startTag, n.parent.virtualTime)
 	n.order = t.order
 	t.order++
 	n.parent.activeWeight += n.weight
+	t.updateKey(n)
 	n.parent.active.Push(n)
 }
 
-// pop removes the next request in fair order and charges its cost.
+// pop removes the next request in fair order and charges its cost. It returns nil if no request
+// waits that may start.
 func (t *tree) pop() *entry {
-	if t.root.queued == 0 {
+	if !t.root.hasActive() {
 		return nil
 	}
 	n := t.root
-	for n.active.Len() > 0 {
+	for n.hasActive() {
 		next := n.active.First()
-		n.virtualTime = max(n.virtualTime, next.startTag)
+		n.virtualTime = max(n.virtualTime, t.virtualTimeAt(next))
 		n = next
 	}
 	e := n.lanes[0].entries.First()
@@ -160,8 +180,9 @@
 // remove removes a waiting request without charging its cost.
 func (t *tree) remove(e *entry) {
 	leaf := e.leaf
-	lane := leaf.lane(e.item.Priority)
+	lane := leaf.lane(e.lanePriority())
 	lane.entries.Remove(e)
+	lane.unlink(e)
 	lane.cost -= e.cost
 	if lane.entries.Len() == 0 {
 		leaf.dropLane(lane)
@@ -174,6 +195,8 @@
 			n.deactivate()
 		}
 	}
+	t.fixBacklog(leaf)
+	t.fixKey(leaf)
 }
 
 func (n *node) deactivate() {
@@ -193,6 +216,7 @@
 	for n := leaf; n.parent != nil; n = n.parent {
 		n.startTag += cost / n.weight
 		if n.index >= 0 {
+			t.updateKey(n)
 			n.parent.active.Fix(n)
 		}
 	}
@@ -227,8 +251,11 @@
 // mostBacklogged returns the caller with the most waiting work for its weight. It
 // descends from the root: first to the business, then to its agency, then to its caller.
 func (t *tree) mostBacklogged() *node {
+	if t.flat {
+		return t.backlog.First()
+	}
 	n := t.root
-	for n.active.Len() > 0 {
+	for n.hasActive() {
 		worst := n.active.First()
 		for _, c := range n.active.All() {
 			if c.queuedCost/c.weight > worst.queuedCost/worst.weight {
--- a/internal/policy/limit/limit.go
+++ b/internal/policy/limit/limit.go
@@ -6,6 +6,20 @@
 // slowdown of a window of samples exceeds the endpoint's baseline by more than a
 // tolerance, the limit shrinks in proportion. Otherwise it grows by one if it was
 // reached during the window. If most samples of a window failed, it is halved.
+//
+// With Config.Shared the limit is that of one process for a service whose endpoints it shares with
+// other processes. The differences, each with the load that causes it:
+//   - A window is judged by the median of its samples, and is as long as it takes to have enough
+//     of them. A process that sends less than one request per second has six samples in a window of the
+//     other kind; two of them slowed down by noise, or one that is five times slower,
+//     would reduce the limit.
+//   - Slow requests reduce the limit only if it was used by more than half. A process with one
+//     request in flight cannot relieve endpoints that are slow for another reason.
+//   - A refusal by a full service reduces the limit at once, as all other processes are about to
+//     be refused too (Refused).
+//   - The limit doubles in each RecoveryInterval in which nothing reduces it (Recover). Slots become free
+//     within the duration of a request, and a process that sends few requests would wait many
+//     windows for each step.
 package limit
 
 import "time"
@@ -14,6 +28,9 @@
 type Config struct {
 	Min int
 	Max int
+	// Shared is set for the limit of one process for a service that others use too. See the
+	// package comment.
+	Shared bool
 }
 
 // Sample describes one request that left the endpoint.
@@ -57,6 +74,7 @@
 	limit    float64
 	baseline float64 // slowdown of the endpoint in its normal state; 0: not known
 	window   window
+	shared   shared
 }
 
 // window accumulates the samples since the limit was last adjusted.
@@ -96,6 +114,10 @@
 
 // Observe records a sample and returns the limit after it.
 func (l *Limiter) Observe(now time.Time, s Sample) int {
+	if l.cfg.Shared {
+		l.observeShared(now, s)
+		return l.Limit()
+	}
 	w := &l.window
 	if w.samples == 0 {
 		w.start = now
