--- a/internal/agentless/gate/admission.go
+++ b/internal/agentless/gate/admission.go
@@ -11,11 +11,6 @@
 )
 
 const (
-	// minReturnPause and maxReturnPause bound the pause before a request is sent again that
-	// all endpoints refused as full. In between it is about the duration of a request, within
-	// which slots become free. The upper bound is a third of the objective of 150 ms.
-	minReturnPause = 5 * time.Millisecond
-	maxReturnPause = 50 * time.Millisecond
 	// initialRetries is the budget of retries of a customer of which no request is known, so
 	// that a customer with few requests has what the service's common budget would give it.
 	initialRetries = 10
@@ -136,7 +131,7 @@
 		return true
 	}
 	g.end(time.Now(), resultNone)
-	return e.returnToQueue()
+	return e.returnToQueue(ctx)
 }
 
 // turn returns a channel that is readable once the waiting request was decided on.
@@ -167,7 +162,7 @@
 }
 
 // pending returns whether an attempt is in flight or the request waits for one.
-func (e *execution) pending() bool { return e.inFlight > 0 || e.waiting != nil || e.pause != nil }
+func (e *execution) pending() bool { return e.inFlight > 0 || e.waiting != nil }
 
 // leaveQueue takes the request out of the queue at its end.
 func (e *execution) leaveQueue() {
@@ -175,7 +170,6 @@
 		e.queue.abandon(time.Now(), e.waiting)
 		e.waiting = nil
 	}
-	e.endPause()
 }
 
 // neverRan returns whether a request that is served through a queue certainly did not run.
@@ -188,48 +182,26 @@
 	}
 }
 
-// returnToQueue has a request wait that endpoints refused as full, if none of its attempts is in
-// flight and its time allows another. It is then sent again to any of the endpoints, but to no more
-// than the route allows. It returns whether the request will return.
-func (e *execution) returnToQueue() bool {
-	if e.queue == nil || len(e.full) == 0 || e.inFlight > 0 || e.waiting != nil || e.pause != nil {
-		return false
-	}
-	now := time.Now()
-	e.queue.serviceFull(now)
-	typical := time.Duration(e.queue.typicalSeconds() * float64(time.Second))
-	pause := min(max(typical/2+rand.N(typical+1), minReturnPause), maxReturnPause)
-	if pause+typical > e.request.remaining(e.route, now) {
-		e.refused = &admission.Action{Reason: reasonFull, RetryAfter: typical}
-		e.queue.countFull(e.request.Customer)
+// returnToQueue has a request wait that endpoints refused as full, and returns whether it waits or
+// is sent again.
+func (e *execution) returnToQueue(ctx context.Context) bool {
+	return e.prepareReturn() && e.requestAttempt(ctx)
+}
+
+// prepareReturn lets a request that endpoints refused as full be sent to them again, if none of
+// its attempts is in flight. The endpoints that it may be sent to remain as many as the route allows.
+func (e *execution) prepareReturn() bool {
+	if len(e.full) == 0 || e.inFlight > 0 || e.waiting != nil {
 		return false
 	}
+	e.queue.serviceFull(time.Now())
 	e.sent = slices.Clone(e.allTried()) // a copy, as DeleteFunc changes e.tried in place
 	e.tried = slices.DeleteFunc(e.tried, func(id string) bool { return slices.Contains(e.full, id) })
 	e.full = nil
 	e.returns++
-	e.pause = time.NewTimer(pause)
-	e.queue.pause(e.request.Customer)
 	return true
 }
 
-// pauseEnd returns a channel that is readable at the end of the pause of a returning request.
-func (e *execution) pauseEnd() <-chan time.Time {
-	if e.pause == nil {
-		return nil
-	}
-	return e.pause.C
-}
-
-// endPause ends the pause of a returning request.
-func (e *execution) endPause() {
-	if e.pause != nil {
-		e.pause.Stop()
-		e.pause = nil
-		e.queue.endPause(e.request.Customer)
-	}
-}
-
 // excluded returns the endpoints that the next attempt may not be sent to. A request that was
 // sent to as many endpoints as its route allows may only return to those.
 func (e *execution) excluded() []string {
--- a/internal/agentless/gate/admission_test.go
+++ b/internal/agentless/gate/admission_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -260,6 +261,13 @@
 		Eventually(service.order).Should(HaveLen(1))
 	}
 
+	It("are refused as not run as streams if no connection was open before their time was over", func() {
+		g = gate.New(d, unreachable{}, quietLog(), metrics.NewRegistry())
+		r := from("small", "q")
+		r.Timeout = 30 * time.Millisecond
+		Expect(g.Stream(context.Background(), route(deployment.Streaming), r, &sink{}).End).To(Equal(gate.Refused))
+	})
+
 	It("return to the queue if all endpoints are full, and are sent again", func() {
 		fullFor(150 * time.Millisecond)
 		o := <-serve(context.Background(), deployment.NonIdempotent, from("small", "patient"))
@@ -367,6 +375,32 @@
 		Expect(len(s.endpoints()) - before).To(Equal(3))
 	})
 
+	It("cost no allocation more than without a queue while they need not wait", func() {
+		allocations := func(requireKeys bool) float64 {
+			g = gate.New(newDirectory(requireKeys, 1, 2), &scriptedSender{replies: []reply{answered}}, quietLog(), metrics.NewRegistry())
+			r := from("small", "q")
+			r.Arrived = time.Now().Add(time.Hour) // in time for all runs
+			return testing.AllocsPerRun(2000, func() { g.Serve(context.Background(), route(deployment.NonIdempotent), r) })
+		}
+		allocations(true) // starts what the whole process needs once
+		Expect(allocations(true)).To(BeNumerically("<=", allocations(false)))
+	})
+
+	It("are logged by customer while they wait, in one line per second at most", func() {
+		var lines syncBuffer
+		log := quietLog()
+		log.SetOutput(&lines)
+		g = gate.New(d, service, log, metrics.NewRegistry())
+		release := fill(2)
+		for i := range 50 {
+			serve(context.Background(), deployment.NonIdempotent, from("large", fmt.Sprint(i)))
+			Eventually(waiting).Should(Equal(i + 1))
+		}
+		Expect(strings.Count(lines.String(), "event=2520")).To(Equal(1))
+		Expect(lines.String()).To(ContainSubstring("large:1"))
+		release()
+	})
+
 	It("are reported by customer while they wait or run", func() {
 		release := fill(2)
 		serve(context.Background(), deployment.NonIdempotent, from("small", "waits"))
@@ -382,6 +416,34 @@
 	})
 })
 
+// unreachable opens no connection before the time of a request is over.
+type unreachable struct{}
+
+// Send implements dispatch.Sender.
+func (unreachable) Send(ctx context.Context, _ *deployment.Endpoint, _ *dispatch.Request) (*dispatch.Answer, error) {
+	<-ctx.Done()
+	return nil, &upstream.SendError{Err: ctx.Err()}
+}
+
+// syncBuffer is a buffer for concurrent use.
+type syncBuffer struct {
+	mu sync.Mutex
+	b  strings.Builder
+}
+
+// Write implements io.Writer.
+func (s *syncBuffer) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+func (s *syncBuffer) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.String()
+}
+
 func receive(result chan gate.Outcome) *gate.Outcome {
 	var o gate.Outcome
 	EventuallyWithOffset(1, result, "5s").Should(Receive(&o))
--- a/internal/agentless/gate/execution.go
+++ b/internal/agentless/gate/execution.go
@@ -54,7 +54,6 @@
 
 	queue   *serviceQueue     // nil: the request is sent without waiting for a slot
 	waiting *waiter           // the request in the queue, or nil
-	pause   *time.Timer       // ends the pause of a request that returns to the queue, or nil
 	full    []string          // endpoints of tried that refused the request as full
 	sent    []string          // endpoints that the request was sent to before it last returned to the queue
 	returns int               // how often it returned
@@ -99,9 +98,6 @@
 			}
 		case <-e.turn():
 			e.takeTurn(ctx, hedge)
-		case <-e.pauseEnd():
-			e.endPause()
-			e.requestAttempt(ctx)
 		case <-ctx.Done():
 			if e.neverRan() {
 				return e.finalOutcome()
@@ -169,7 +165,7 @@
 	if a.notRun || e.route.Repeatable() && e.spendRetry() {
 		e.gate.retries.Inc(1)
 		if !e.requestAttempt(ctx) {
-			e.returnToQueue()
+			e.returnToQueue(ctx)
 		}
 	}
 	return Outcome{}, false
--- a/internal/agentless/gate/queue.go
+++ b/internal/agentless/gate/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"strconv"
 	"sync"
 	"time"
@@ -20,6 +21,10 @@
 	refreshInterval = 100 * time.Millisecond
 	// waitingRefreshInterval applies while requests wait for a higher limit.
 	waitingRefreshInterval = 25 * time.Millisecond
+	// minHold and maxHold bound how long nothing is sent to a service that was full. The upper
+	// bound is a third of an objective of 150 ms.
+	minHold = 5 * time.Millisecond
+	maxHold = 50 * time.Millisecond
 	// leadRequests is the lead that the highest priority gives a customer, in typical requests.
 	// A customer of the lowest priority waits for at most so many requests of another before
 	// its share is due. With the 25 ms of a lookup and one slot that lies below the
@@ -80,7 +85,6 @@
 	budget      *retry.Budget        // of retries, by customer
 	lastGrant   map[string]time.Time // time of the last grant of retries by customer
 	waiters     map[string]*waiter
-	paused      map[string]int // requests that return to the queue after a pause, by customer
 	refused     map[string]map[string]int64
 	timer       *time.Timer
 	lastID      uint64
@@ -99,7 +103,7 @@
 		service: service, gate: g, metrics: newQueueMetrics(g.registry, service),
 		policy: admission.New(admission.Config{Slots: 1, QueueLimit: 1, Flat: true}), limiter: limit.New(limit.Config{Min: 1, Max: 1, Shared: true}),
 		estimator: limit.NewEstimator(), budget: retry.NewBudget(), lastGrant: map[string]time.Time{},
-		waiters: map[string]*waiter{}, paused: map[string]int{}, refused: map[string]map[string]int64{},
+		waiters: map[string]*waiter{}, refused: map[string]map[string]int64{},
 	}
 	q.timer = time.AfterFunc(time.Hour, q.tick)
 	return q
@@ -162,6 +166,7 @@
 		q.adapt(now, "slow", func() { q.limiter.Observe(now, sample) })
 	}
 	if r != resultNone {
+		q.policy.EndHold()
 		q.estimator.Observe(g.class, 0, took.Seconds())
 		q.estimator.Observe(typicalClass, 0, took.Seconds())
 	}
@@ -184,37 +189,18 @@
 	}
 }
 
-// serviceFull records that all endpoints that a request was sent to refused it as full.
+// serviceFull records that all endpoints that a request was sent to refused it as full. Nothing
+// is sent until about the duration of a request has passed, within which slots become free, or
+// until an endpoint has answered a request of this process.
 func (q *serviceQueue) serviceFull(now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.fullAt = now
+	typical := time.Duration(q.estimator.Cost(typicalClass, 0) * float64(time.Second))
+	q.policy.Hold(now.Add(min(max(typical/2+rand.N(typical+1), minHold), maxHold)))
 	q.adapt(now, "full", func() { q.limiter.Refused(now, q.policy.Load().Running+1) })
 }
 
-// pause counts a request that returns to the queue later.
-func (q *serviceQueue) pause(customer string) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.paused[customer]++
-}
-
-// endPause counts the end of a pause.
-func (q *serviceQueue) endPause(customer string) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if q.paused[customer]--; q.paused[customer] <= 0 {
-		delete(q.paused, customer)
-	}
-}
-
-// typicalSeconds returns how long a typical request holds a slot.
-func (q *serviceQueue) typicalSeconds() float64 {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.estimator.Cost(typicalClass, 0)
-}
-
 // abandon takes a request out of the queue whose caller left or which was answered meanwhile.
 func (q *serviceQueue) abandon(now time.Time, w *waiter) {
 	q.mu.Lock()
@@ -319,7 +305,9 @@
 	if slots, limited := q.gate.Shares.CustomerSlots(q.service, customer); limited {
 		most = max(1, slots)
 	}
-	q.apply(now, q.policy.SetCap(now, customer, most))
+	if actions := q.policy.SetCap(now, customer, most); len(actions) > 0 {
+		q.apply(now, actions)
+	}
 }
 
 // updateCaps applies the assigned slots of all customers with requests. The lock must be held.
@@ -344,8 +332,11 @@
 		delete(q.waiters, a.ID)
 		if a.Kind == admission.Refuse {
 			refusal := a
+			if w.claim.returned && a.Reason == wire.ReasonDeadline {
+				refusal.Reason = reasonFull
+			}
 			w.refused = &refusal
-			q.countRefusal(w.claim.customer, a.Reason)
+			q.countRefusal(w.claim.customer, refusal.Reason)
 		} else {
 			w.grant = grant{queue: q, id: w.id, class: w.claim.class, baselineCost: q.estimator.BaselineCost(w.claim.class, 0), at: now}
 			q.metrics.wait.Update(now.Sub(w.since))
@@ -368,5 +359,8 @@
 	if at, ok := q.policy.NextExpiry(); ok {
 		delay = min(delay, max(at.Sub(now), 0)+time.Millisecond)
 	}
+	if held := q.policy.HeldUntil(); held.After(now) {
+		delay = min(delay, held.Sub(now))
+	}
 	q.timer.Reset(delay)
 }
--- a/internal/agentless/gate/queue_report.go
+++ b/internal/agentless/gate/queue_report.go
@@ -56,13 +56,6 @@
 	q.pressure.refused++
 }
 
-// countFull counts a request that endpoints refused as full until its time was over.
-func (q *serviceQueue) countFull(customer string) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.countRefusal(customer, reasonFull)
-}
-
 // logPressure logs that requests wait or were refused, with the customers that wait with the most
 // requests. The lock must be held.
 func (q *serviceQueue) logPressure(now time.Time) {
--- a/internal/agentless/gate/shares.go
+++ b/internal/agentless/gate/shares.go
@@ -74,22 +74,9 @@
 // demands returns the demand by customer. The lock must be held.
 func (q *serviceQueue) demands() []fairshare.Demand {
 	var list []fairshare.Demand
-	counted := 0 // customers with a paused request that the policy lists too
 	q.policy.Customers(func(c admission.CustomerLoad) {
-		paused := q.paused[c.Customer]
-		if paused > 0 {
-			counted++
-		}
-		list = append(list, fairshare.Demand{Customer: c.Customer, Weight: c.Weight, InFlight: c.Running, Waiting: c.Waiting + paused})
+		list = append(list, fairshare.Demand{Customer: c.Customer, Weight: c.Weight, InFlight: c.Running, Waiting: c.Waiting})
 	})
-	if counted == len(q.paused) {
-		return list
-	}
-	for customer, paused := range q.paused {
-		if !slices.ContainsFunc(list, func(d fairshare.Demand) bool { return d.Customer == customer }) {
-			list = append(list, fairshare.Demand{Customer: customer, Weight: 1, Waiting: paused})
-		}
-	}
 	return list
 }
 
@@ -99,11 +86,10 @@
 	load := q.policy.Load()
 	status := QueueStatus{
 		Service: q.service, Limit: q.limit(), Learned: q.limiter.Limit(), Assigned: q.assigned,
-		InFlight: load.Running, QueueLimit: q.queueLimit, Refused: map[string]int64{},
+		InFlight: load.Running, Waiting: load.Queued, QueueLimit: q.queueLimit, Refused: map[string]int64{},
 	}
 	customers := map[string]CustomerStatus{}
 	for _, d := range q.demands() {
-		status.Waiting += d.Waiting
 		customers[d.Customer] = CustomerStatus{Customer: d.Customer, InFlight: d.InFlight, Waiting: d.Waiting}
 	}
 	for customer, byReason := range q.refused {
--- a/internal/agentless/gate/stream.go
+++ b/internal/agentless/gate/stream.go
@@ -79,7 +79,7 @@
 		pick := s.gate.pickEndpoint(s.service, s.request, s.excluded())
 		if pick == nil {
 			g.end(time.Now(), resultNone)
-			if s.awaitReturn(ctx) {
+			if s.prepareReturn() {
 				continue
 			}
 			break
@@ -91,7 +91,7 @@
 			return outcome
 		}
 		if len(s.tried) >= s.route.MaxAttempts {
-			s.awaitReturn(ctx)
+			s.prepareReturn()
 		}
 	}
 	if s.headersSent {
@@ -128,21 +128,6 @@
 	return w.grant, w.refused == nil
 }
 
-// awaitReturn waits until a stream that endpoints refused as full may be sent again. It returns
-// false if it may not.
-func (s *stream) awaitReturn(ctx context.Context) bool {
-	if !s.returnToQueue() {
-		return false
-	}
-	defer s.endPause()
-	select {
-	case <-s.pause.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // result returns what the stream's last attempt tells about the time that streams take.
 func (s *stream) result(outcome Outcome) result {
 	if outcome.End == Answered {
--- a/internal/policy/admission/flat.go
+++ b/internal/policy/admission/flat.go
@@ -214,7 +214,7 @@
 func (q *Queue) TryStart(now time.Time, item Item) (Slot, bool) {
 	t := q.deadlineTree
 	leaf := t.customer(item.Principal.Business)
-	if q.draining || !q.mayStart(leaf) {
+	if q.draining || !q.mayStart(now, leaf) {
 		return Slot{}, false
 	}
 	s := Slot{leaf: leaf, cost: max(item.Cost, minCost), startedAt: now}
@@ -240,14 +240,14 @@
 
 // mayStart reports whether a slot is free that no other request waits for, and the customer may
 // run another request.
-func (q *Queue) mayStart(leaf *node) bool {
-	return q.running < q.slots && q.pendingAlone == nil && q.runningAlone == nil && !q.deadlineTree.root.hasActive() && !leaf.capped()
+func (q *Queue) mayStart(now time.Time, leaf *node) bool {
+	return q.running < q.slots && !now.Before(q.holdUntil) && q.pendingAlone == nil && q.runningAlone == nil && !q.deadlineTree.root.hasActive() && !leaf.capped()
 }
 
 // estimatedTurn estimates in seconds how long a request of a flat queue waits: for its
 // customer's earlier requests and its own turn at the customer's share, but never longer than
 // for all that waits, unless the customer is capped.
-func (q *Queue) estimatedTurn(e *entry) float64 {
+func (q *Queue) estimatedTurn(now time.Time, e *entry) float64 {
 	slots := float64(max(q.slots, 1))
 	ahead := e.leaf.costAhead(e.lanePriority())
 	wait := min((ahead+e.cost)/(slots*e.leaf.share())-e.cost/slots, q.deadlineTree.root.queuedCost/slots)
@@ -257,6 +257,7 @@
 	if q.running >= q.slots {
 		wait += q.runningCost / 2 / slots
 	}
+	wait += max(0, q.holdUntil.Sub(now).Seconds())
 	if e.leaf.capped() {
 		wait = max(wait, (ahead+e.cost/2)/float64(e.leaf.cap))
 	}
@@ -285,6 +286,22 @@
 	return max(seconds(q.deadlineTree.root.queuedCost/float64(max(q.slots, 1))), minRetryAfter)
 }
 
+// Hold starts no request of a flat queue until a time, unless EndHold is called before. It is
+// used after all endpoints were full: a request that returns would otherwise be sent in a tight
+// loop. With a pause for each request instead, the customer with the most waiting requests has
+// the most attempts and takes most of the slots that become free.
+func (q *Queue) Hold(until time.Time) {
+	if until.After(q.holdUntil) {
+		q.holdUntil = until
+	}
+}
+
+// EndHold ends a Hold, as a slot has become free.
+func (q *Queue) EndHold() { q.holdUntil = time.Time{} }
+
+// HeldUntil returns when a Hold ends; it may be in the past.
+func (q *Queue) HeldUntil() time.Time { return q.holdUntil }
+
 // Resize changes the slots, the limit of waiting requests and the lead of a flat queue.
 func (q *Queue) Resize(now time.Time, slots, queueLimit int, lead float64) []Action {
 	q.resetActions()
--- a/internal/policy/admission/queue.go
+++ b/internal/policy/admission/queue.go
@@ -28,7 +28,8 @@
 	pendingAlone *entry   // entry in state pendingAlone, or nil; nothing starts before it
 	runningAlone *entry   // running suspect, or nil; nothing starts beside it
 	draining     bool
-	order        uint64 // arrivals so far
+	holdUntil    time.Time // see Hold
+	order        uint64    // arrivals so far
 	actions      []Action
 }
 
@@ -93,7 +94,7 @@
 	e := &entry{item: item, leaf: t.leaf(item.Principal), cost: max(item.Cost, minCost), order: q.order, expiryIndex: indexheap.NotInHeap}
 	q.order++
 	e.updateLatestStart()
-	if estimatedWait := q.estimatedWait(e); q.missesDeadline(now, e, estimatedWait) {
+	if estimatedWait := q.estimatedWait(now, e); q.missesDeadline(now, e, estimatedWait) {
 		q.refuse(e, wire.ReasonDeadline, q.retryAfter(now, e, estimatedWait))
 		return q.actions
 	}
@@ -222,7 +223,7 @@
 // deadline requests that still wait.
 func (q *Queue) dispatch(now time.Time) {
 	q.refuseExpired(now)
-	for q.pendingAlone == nil && q.runningAlone == nil && q.running < q.slots {
+	for q.pendingAlone == nil && q.runningAlone == nil && q.running < q.slots && !now.Before(q.holdUntil) {
 		e := q.next()
 		if e == nil {
 			break
--- a/internal/policy/admission/refuse.go
+++ b/internal/policy/admission/refuse.go
@@ -56,9 +56,9 @@
 // the earlier work of its caller, served at the caller's fair share, but never longer
 // than for all waiting work. If deadline requests hold all slots, half of their cost is
 // added.
-func (q *Queue) estimatedWait(e *entry) float64 {
+func (q *Queue) estimatedWait(now time.Time, e *entry) float64 {
 	if q.cfg.Flat {
-		return q.estimatedTurn(e)
+		return q.estimatedTurn(now, e)
 	}
 	slots := float64(max(q.slots, 1))
 	ahead := e.leaf.costAhead(e.item.Priority)
@@ -77,7 +77,7 @@
 	if e.item.Deadline.IsZero() {
 		return false
 	}
-	if q.canStartNow(e) {
+	if q.canStartNow(now, e) {
 		e.latestStart = e.item.Deadline
 		return now.After(e.latestStart)
 	}
@@ -85,9 +85,9 @@
 }
 
 // canStartNow reports whether a slot is free and no request waits for it.
-func (q *Queue) canStartNow(e *entry) bool {
+func (q *Queue) canStartNow(now time.Time, e *entry) bool {
 	if q.cfg.Flat {
-		return q.mayStart(e.leaf)
+		return q.mayStart(now, e.leaf)
 	}
 	free := q.running < q.slots && q.pendingAlone == nil && q.runningAlone == nil
 	return free && q.treeOf(e.item).root.queued == 0
