gate: refusals of engines that load weights do not lower the limit

Cause: an engine that loads weights refuses as a full one does (503, not run). Three such refusals in a row set the limit of the whole service to three quarters of what is in flight, and a stream for another model then waited for long streams to end.

Ruled out: no return to the queue for requests for a model; they would be refused although an engine of their model is ready within a second.

Change: requests for a model hold the queue briefly but do not lower the limit.

--- a/internal/agentless/gate/admission.go
+++ b/internal/agentless/gate/admission.go
@@ -194,7 +194,7 @@
 	if len(e.full) == 0 || e.inFlight > 0 || e.waiting != nil {
 		return false
 	}
-	e.queue.serviceFull(time.Now())
+	e.queue.serviceFull(time.Now(), e.request.Model)
 	e.sent = slices.Clone(e.allTried()) // a copy, as DeleteFunc changes e.tried in place
 	e.tried = slices.DeleteFunc(e.tried, func(id string) bool { return slices.Contains(e.full, id) })
 	e.full = nil
--- a/internal/agentless/gate/admission_test.go
+++ b/internal/agentless/gate/admission_test.go
@@ -193,6 +193,18 @@
 		Expect(g.QueueStatus()[0].Learned).To(Equal(1), "refusals lower the limit")
 	})
 
+	It("do not lower the limit if engines refuse them that load the weights of their model", func() {
+		// Otherwise a stream for another model would wait until one of a few long streams ends.
+		d.Put(deployment.Endpoint{ID: "a", Service: "app", Address: "x:1", Slots: 8, Versions: map[string]int64{"m": 1}})
+		s := &scriptedSender{replies: []reply{refusing, refusing, refusing, answered}}
+		g = gate.New(d, s, quietLog(), metrics.NewRegistry())
+		r := from("small", "q")
+		r.Model = "m"
+		Expect(g.Serve(context.Background(), route(deployment.NonIdempotent), r).End).To(Equal(gate.Answered))
+		Expect(s.endpoints()).To(HaveLen(4))
+		Expect(g.QueueStatus()[0].Learned).To(Equal(8))
+	})
+
 	It("are refused as not run if all endpoints stay full until the timeout", func() {
 		fullFor(300 * time.Millisecond)
 		r := from("small", "late")
--- a/internal/agentless/gate/queue.go
+++ b/internal/agentless/gate/queue.go
@@ -191,13 +191,18 @@
 
 // serviceFull records that all endpoints that a request was sent to refused it as full. Nothing
 // is sent until about the duration of a request has passed, within which slots become free, or
-// until an endpoint has answered a request of this process.
-func (q *serviceQueue) serviceFull(now time.Time) {
+// until an endpoint has answered a request of this process. A request for a model does not
+// lower the limit: an engine that loads weights refuses as a full one does, and requests
+// for the other models of the service would wait for long streams to end.
+func (q *serviceQueue) serviceFull(now time.Time, model string) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.fullAt = now
 	typical := time.Duration(q.estimator.Cost(typicalClass, 0) * float64(time.Second))
 	q.policy.Hold(now.Add(min(max(typical/2+rand.N(typical+1), minHold), maxHold)))
+	if model != "" {
+		return
+	}
 	q.adapt(now, "full", func() { q.limiter.Refused(now, q.policy.Load().Running+1) })
 }
 
