Merge the queues of entries, and join them with the shares of services

Change: the gate reports its customers' demand and observes the slots that the process is assigned; a stream asks for its slot before the quarantine decides where it may run.

--- a/internal/agentless/gate/stream.go
+++ b/internal/agentless/gate/stream.go
@@ -58,7 +58,7 @@
 	if !quarantined {
 		outcome = s.runAttempts(limited)
 	}
-	if limited.Err() != nil && outcome.End != Answered && !s.headersSent {
+	if limited.Err() != nil && outcome.End != Answered && !s.headersSent && !s.neverRan() {
 		outcome = Outcome{End: TimedOut}
 	}
 	if ctx.Err() != nil && outcome.End != Answered {
@@ -72,22 +72,35 @@
 // attempt remains.
 func (s *stream) runAttempts(ctx context.Context) Outcome {
 	for len(s.tried) < s.route.MaxAttempts && ctx.Err() == nil {
-		admission := s.admit(ctx)
-		if !admission.Admitted {
+		g, granted := s.awaitSlot(ctx)
+		if !granted {
 			break
 		}
-		pick := s.gate.pickEndpoint(s.service, s.request, s.tried, admission.Only)
+		verdict := s.admit(ctx)
+		if !verdict.Admitted {
+			g.end(time.Now(), resultNone)
+			break
+		}
+		pick := s.gate.pickEndpoint(s.service, s.request, s.excluded(), verdict.Only)
 		if pick == nil {
-			admission.Ended()
+			verdict.Ended()
+			g.end(time.Now(), resultNone)
+			if s.prepareReturn() {
+				continue
+			}
 			break
 		}
 		s.tried = append(s.tried, pick.ID)
-		admission.Started(pick.ID)
+		verdict.Started(pick.ID)
 		outcome, retry := s.attempt(ctx, pick)
-		admission.Ended()
+		verdict.Ended()
+		g.end(time.Now(), s.result(outcome))
 		if !retry {
 			return outcome
 		}
+		if len(s.tried) >= s.route.MaxAttempts {
+			s.prepareReturn()
+		}
 	}
 	if s.headersSent {
 		return Outcome{End: Interrupted}
@@ -95,6 +108,42 @@
 	return s.finalOutcome()
 }
 
+// awaitSlot waits for a slot of the service. granted is false if the queue refused the stream, or
+// its caller left or its time passed before. A stream that has begun continues before others
+// begin: its caller has a part of the answer.
+func (s *stream) awaitSlot(ctx context.Context) (g grant, granted bool) {
+	if s.queue == nil {
+		return grant{}, true
+	}
+	c, ok := s.claim()
+	if !ok {
+		return grant{}, false
+	}
+	c.extra = s.mayHaveRun && !s.headersSent
+	g, w := s.queue.acquire(time.Now(), c)
+	if w == nil {
+		return g, true
+	}
+	select {
+	case <-w.decided:
+	case <-ctx.Done():
+	}
+	if ctx.Err() != nil {
+		s.queue.abandon(time.Now(), w)
+		return grant{}, false
+	}
+	s.refused = w.refused
+	return w.grant, w.refused == nil
+}
+
+// result returns what the stream's last attempt tells about the time that streams take.
+func (s *stream) result(outcome Outcome) result {
+	if outcome.End == Answered {
+		return resultStreamed
+	}
+	return resultNone
+}
+
 // attempt has one endpoint serve the stream, resuming after the last event. retry is true if
 // another endpoint may continue the stream.
 func (s *stream) attempt(ctx context.Context, pick *directory.Pick) (outcome Outcome, retry bool) {
@@ -112,6 +161,9 @@
 		s.reportLoss(pick, a, endpointOutcome)
 	}
 	s.logFailure(pick, a.err, a.notRun)
+	if a.full != "" {
+		s.noteFull(a.full)
+	}
 	s.mayHaveRun = s.mayHaveRun || !a.notRun
 	if !a.notRun && !s.route.Repeatable() {
 		if s.headersSent {
@@ -138,7 +190,7 @@
 	}
 	defer func() { _ = answer.Body.Close() }()
 	if answer.NotRun || answer.Replaced {
-		return Outcome{}, attempt{notRun: true}, refusalOutcome(answer)
+		return Outcome{}, refusedAttempt(pick, answer), refusalOutcome(answer)
 	}
 	if answer.Status != http.StatusOK {
 		return s.plainAnswer(answer)
