Quarantine: specs of streams at a small service and of a store that is down

Cause: neither path had a spec: a stream makes its attempts itself, and without the store a process goes by its own reports. Change: one spec each.

--- a/internal/agentless/gate/spare_test.go
+++ b/internal/agentless/gate/spare_test.go
@@ -220,6 +220,21 @@
 		Expect(most).To(Equal(2))
 	})
 
+	It("leaves one endpoint also if it is a stream that may be resumed", func() {
+		g := start("a", "b", "c")
+		resumable := wide()
+		resumable.Kind, resumable.Resumable = deployment.Streaming, true
+		stream := func() gate.Outcome {
+			r := request()
+			r.Body = []byte("poison")
+			return g.Stream(context.Background(), resumable, r, &sink{})
+		}
+		Expect(stream().End).To(Equal(gate.Unknown))
+		Expect(stream().End).To(Equal(gate.Quarantined))
+		_, most := endpoints.counts()
+		Expect(most).To(Equal(2))
+	})
+
 	It("takes three endpoints, as before, while the mechanism is off", func() {
 		g := start("a", "b", "c")
 		switches.SetDisabled([]mechanism.Mechanism{mechanism.SpareEndpoints})
--- a/internal/agentless/quarantine/spare_test.go
+++ b/internal/agentless/quarantine/spare_test.go
@@ -109,6 +109,16 @@
 		}),
 	)
 
+	It("holds a suspect back by its own reports while the store is down", func() {
+		store.SetDown(true)
+		p := start("p1")
+		ended["b:1"] = true
+		p.ConnectionLost(request(suspect), endpoint("a"))
+		Expect(admits(p).Admitted).To(BeTrue())
+		p.ConnectionLost(request(suspect), endpoint("b"))
+		Expect(admits(p).Admitted).To(BeFalse())
+	})
+
 	It("admits a suspect again once its endpoint is back, and learns how long that takes", func() {
 		p := start("p1")
 		d.Remove("b")
