--- a/internal/agentless/node/node.go
+++ b/internal/agentless/node/node.go
@@ -379,7 +379,7 @@
 	if err != nil {
 		return errors.Wrap(err, "node: metrics address")
 	}
-	server := observe.Server{Registry: n.registry, Ready: n.Ready}
+	server := observe.Server{Registry: n.registry, Ready: n.Ready, Load: n.loadReport}
 	group.Go(func() error { return server.Serve(ctx, listener) })
 	return nil
 }
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -13,7 +13,7 @@
 // Exit codes of siskinctl.
 const (
 	ExitOK         = 0
-	ExitError      = 1 // wrong usage, or no entry answered
+	ExitError      = 1 // wrong usage, no entry answered, or a process has no usable report
 	ExitDrift      = 2 // plan: the declarations differ from what is in force
 	ExitFindings   = 3 // the declarations have faults
 	ExitRefused    = 4 // apply: the configuration has changed, or the change was not accepted
@@ -23,7 +23,7 @@
 
 const exitCodes = `Exit codes:
   0  done; plan: nothing to change
-  1  wrong usage, or no entry answered
+  1  wrong usage, no entry answered, or a process has no usable report
   2  plan: the declarations differ from what is in force
   3  the declarations have faults
   4  refused: the configuration has changed, or the change was not accepted
--- a/internal/ctl/platform.go
+++ b/internal/ctl/platform.go
@@ -25,7 +25,8 @@
 }
 
 // platform returns the commands for processes on the platform's machines. These have no
-// operators' address; the commands use what the processes keep in the platform's store.
+// operators' address; the commands use what the processes keep in the platform's store and what
+// they report at their metrics addresses.
 func (o *options) platform(openStore func(address string) kv.TransactionalStore) *cobra.Command {
 	p := &platformOptions{options: o, openStore: openStore}
 	root := &cobra.Command{Use: "platform", Short: "commands for processes on the platform's machines"}
@@ -33,6 +34,7 @@
 	group := &cobra.Command{Use: "quarantine", Short: "requests that are refused because endpoints ended under them"}
 	group.AddCommand(p.listQuarantine(), p.releaseQuarantine())
 	root.AddCommand(group)
+	root.AddCommand(o.loadCommands()...)
 	return root
 }
 
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"time"
 
@@ -15,11 +16,12 @@
 // stopTimeout limits how long a stop waits for requests in flight.
 const stopTimeout = 2 * time.Second
 
-// Server serves /metrics (JSON), /metrics.txt (one value per line), /healthz and
-// /readyz.
+// Server serves /metrics (JSON), /metrics.txt (one value per line), /healthz, /readyz and, if
+// Load is set, /load.json.
 type Server struct {
 	Registry metrics.Registry
 	Ready    func() bool
+	Load     func() any // returns the report of the process's load, encoded as JSON; may be nil
 }
 
 // Serve serves requests from the listener until ctx ends.
@@ -48,6 +50,8 @@
 		ctx.SetBodyString("ok\n")
 	case "/readyz":
 		s.serveReady(ctx)
+	case "/load.json":
+		s.serveLoad(ctx)
 	default:
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 	}
@@ -61,3 +65,17 @@
 	ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	ctx.SetBodyString("not ready\n")
 }
+
+func (s Server) serveLoad(ctx *fasthttp.RequestCtx) {
+	if s.Load == nil {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	body, err := json.Marshal(s.Load())
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
