--- a/internal/agentless/loadreport/bound.go
+++ b/internal/agentless/loadreport/bound.go
@@ -71,7 +71,7 @@
 
 func (s *Shares) bound() {
 	slices.SortFunc(s.Services, func(a, b ServiceShare) int {
-		return cmp.Or(cmp.Compare(b.Slots, a.Slots), cmp.Compare(a.Service, b.Service))
+		return cmp.Or(b.pressure()-a.pressure(), cmp.Compare(b.Slots, a.Slots), cmp.Compare(a.Service, b.Service))
 	})
 	s.Services, s.Omitted = shorten(s.Services, MaxServices)
 	for i := range s.Services {
@@ -94,6 +94,14 @@
 	}
 }
 
+// pressure is 1 for a service under pressure, whose limits matter, and 0 for others.
+func (s *ServiceShare) pressure() int {
+	if s.Pressed {
+		return 1
+	}
+	return 0
+}
+
 func (d *Division) demand() int {
 	sum := 0
 	for _, p := range d.Processes {
--- a/internal/agentless/loadreport/report.go
+++ b/internal/agentless/loadreport/report.go
@@ -12,8 +12,8 @@
 // fields may be added without a change.
 const Format = 1
 
-// MaxBytes is the most bytes of a report that a reader accepts. A report of the maximum size below
-// has less than 3 MB with names of 40 bytes.
+// MaxBytes is the most bytes of a report that a reader accepts. A report with as many elements as
+// the limits below allow, and names of 40 bytes, has 2.4 MB.
 const MaxBytes = 4 << 20
 
 // Limits of the number of elements. Of more than that, the busiest are reported and the others are
@@ -110,7 +110,7 @@
 	Worker    string          `json:"worker"`  // that divides the slots
 	Slots     int             `json:"slots"`   // that this process may use; 0: not limited
 	Valid     bool            `json:"valid"`   // Slots comes from a valid allotment, not from an equal division
-	Level     float64         `json:"level"`   // slots of a customer that asks for more; 0: all get what they ask for
+	Level     float64         `json:"level"`   // slots per unit of weight that no customer exceeds; 0: all get what they ask for
 	Processes int             `json:"processes"`
 	Customers []CustomerShare `json:"customers"` // that get less than they ask for, the fewest slots first
 	Omitted   int             `json:"omitted"`   // customers that are not listed
--- a/internal/agentless/loadreport/report_test.go
+++ b/internal/agentless/loadreport/report_test.go
@@ -110,7 +110,9 @@
 			}},
 		}
 		r.Speeds.Services = []loadreport.ServiceSpeeds{{Service: "app", Endpoints: []loadreport.EndpointSpeed{{ID: "a"}, {ID: "c", InFlight: 2}, {ID: "b", InFlight: 2}}}}
+		r.Shares.Services = []loadreport.ServiceShare{{Service: "calm", Slots: 9}, {Service: "pressed", Pressed: true, Slots: 1}}
 		r.Bound()
+		Expect(r.Shares.Services[0].Service).To(Equal("pressed"))
 		Expect(r.Queues.Services[0].Service).To(Equal("busy"))
 		var order []string
 		for _, c := range r.Queues.Services[0].Customers {
--- a/internal/agentless/node/load.go
+++ b/internal/agentless/node/load.go
@@ -1,17 +1,42 @@
 package node
 
 import (
+	"context"
 	"maps"
 	"math"
+	"net"
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
 	"siskinloom.example/siskinloom/internal/agentless/gate"
 	"siskinloom.example/siskinloom/internal/agentless/loadreport"
+	"siskinloom.example/siskinloom/internal/observe"
 	"siskinloom.example/siskinloom/internal/policy/endpoints"
 	"siskinloom.example/siskinloom/internal/policy/fairshare"
 )
 
+// serveMetrics serves the metrics and the report of the load until ctx ends, if there is an
+// address for them.
+func (n *Node) serveMetrics(ctx context.Context, group *errgroup.Group) error {
+	if n.settings.MetricsAddress == "" {
+		return nil
+	}
+	listener, err := net.Listen("tcp", n.settings.MetricsAddress)
+	if err != nil {
+		return errors.Wrap(err, "node: metrics address")
+	}
+	server := n.metricsServer()
+	group.Go(func() error { return server.Serve(ctx, listener) })
+	return nil
+}
+
+func (n *Node) metricsServer() observe.Server {
+	return observe.Server{Registry: n.registry, Ready: n.Ready, Load: n.loadReport}
+}
+
 // loadReport returns what this process knows of its load. Each part is a snapshot of its own.
 func (n *Node) loadReport() any {
 	now := time.Now()
@@ -94,7 +119,7 @@
 	all := &loadreport.Suspects{}
 	for _, s := range n.quarantine.Status() {
 		all.Requests = append(all.Requests, loadreport.Suspect{
-			Fingerprint: s.Fingerprint, Endpoints: s.Endpoints, BlockedUntil: s.BlockedUntil, Contested: s.Contested, Running: s.Running,
+			Fingerprint: s.Fingerprint, Endpoints: s.Endpoints, BlockedUntil: s.BlockedUntil.UTC(), Contested: s.Contested, Running: s.Running,
 		})
 	}
 	return all
--- a/internal/agentless/node/node.go
+++ b/internal/agentless/node/node.go
@@ -36,7 +36,6 @@
 	"siskinloom.example/siskinloom/internal/events"
 	"siskinloom.example/siskinloom/internal/kv"
 	"siskinloom.example/siskinloom/internal/netdial"
-	"siskinloom.example/siskinloom/internal/observe"
 	"siskinloom.example/siskinloom/internal/policy/batch"
 	"siskinloom.example/siskinloom/internal/policy/fanout"
 	"siskinloom.example/siskinloom/internal/policy/usage"
@@ -371,19 +370,6 @@
 	return s, n.serveMetrics(ctx, group)
 }
 
-func (n *Node) serveMetrics(ctx context.Context, group *errgroup.Group) error {
-	if n.settings.MetricsAddress == "" {
-		return nil
-	}
-	listener, err := net.Listen("tcp", n.settings.MetricsAddress)
-	if err != nil {
-		return errors.Wrap(err, "node: metrics address")
-	}
-	server := observe.Server{Registry: n.registry, Ready: n.Ready, Load: n.loadReport}
-	group.Go(func() error { return server.Serve(ctx, listener) })
-	return nil
-}
-
 func (n *Node) serveHTTP(group *errgroup.Group, address string, handler http.Handler) (*http.Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
--- a/internal/ctl/load.go
+++ b/internal/ctl/load.go
@@ -77,7 +77,7 @@
 	if len(processes) == 0 {
 		return errors.New("--process is missing")
 	}
-	reports, failures := readLoads(cmd.Context(), processes)
+	reports, failures := readLoads(cmd.Context(), loadCallTimeout, processes)
 	if err := o.printReports(cmd.OutOrStdout(), reports, section); err != nil {
 		return err
 	}
@@ -104,8 +104,8 @@
 }
 
 // readLoads returns the reports of processes in the order of their addresses, and a text for each
-// process without a usable report.
-func readLoads(ctx context.Context, processes []string) (reports []loadReport, failures []string) {
+// process without a usable report. Each process has the timeout for its answer.
+func readLoads(ctx context.Context, timeout time.Duration, processes []string) (reports []loadReport, failures []string) {
 	client := &http.Client{
 		Transport:     &http.Transport{DisableKeepAlives: true}, // without a proxy: processes are called directly
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
@@ -115,7 +115,9 @@
 	group.SetLimit(loadCalls)
 	for i, address := range processes {
 		group.Go(func() error {
-			found[i], faults[i] = readLoad(ctx, client, address)
+			callCtx, cancel := context.WithTimeout(ctx, timeout)
+			defer cancel()
+			found[i], faults[i] = readLoad(callCtx, client, address)
 			return nil // a failure must not end the requests to other processes
 		})
 	}
@@ -134,8 +136,6 @@
 	if _, _, err := net.SplitHostPort(address); err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, loadCallTimeout)
-	defer cancel()
 	target := url.URL{Scheme: "http", Host: address, Path: loadreport.Path}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
 	if err != nil {
--- a/internal/layers/layers_test.go
+++ b/internal/layers/layers_test.go
@@ -111,6 +111,14 @@
 		)
 	})
 
+	// siskinctl reads the report of processes; it must not need their runtimes for that.
+	It("keep the report of a process's load free of all other packages", func() {
+		forbid(
+			func(pkg string) bool { return within(pkg, "internal/agentless/loadreport") },
+			func(string) bool { return true },
+		)
+	})
+
 	It("let only programs import the platform's adapter", func() {
 		forbid(
 			func(pkg string) bool { return !within(pkg, "cmd", "platform") },
