Quarantine: write the first reports of a process at once

Writes were at least 250 ms apart. A process that lost two endpoints of a service of three within 3 ms reported the second one 250 ms later, and another entry that knew of the first one only sent a copy of the request to the last endpoint. A token bucket now lets three writes follow each other at once; the sustained rate stays one write per 250 ms.

--- /dev/null
+++ b/internal/agentless/quarantine/export_test.go
@@ -0,0 +1,7 @@
+package quarantine
+
+// Limits of the calls to the store, for specs.
+const (
+	WriteInterval = writeInterval
+	WriteBurst    = writeBurst
+)
--- a/internal/agentless/quarantine/quarantine_test.go
+++ b/internal/agentless/quarantine/quarantine_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -200,6 +201,31 @@
 		Eventually(reports, "5s").Should(Equal(3))
 	})
 
+	// Guards against a third endpoint that ends because the report of the second one waited for
+	// writeInterval: another entry knew of the first one only and sent a copy to the last endpoint.
+	It("writes the reports of ends that follow each other within milliseconds at once", func() {
+		p := startProcess(store, "p1", ended)
+		began := time.Now()
+		for n, id := range []string{"a", "b"} {
+			p.ConnectionLost(request(poisonous), endpoint(id))
+			Eventually(reports, "5s", "1ms").Should(Equal(n + 1))
+		}
+		Expect(time.Since(began)).To(BeNumerically("<", quarantine.WriteInterval))
+	})
+
+	// Guards against calls to the store that grow with the number of endpoints that end.
+	It("writes the reports of many ends with few calls", func() {
+		p := startProcess(store, "p1", endedAddresses{"a:1": true})
+		began := time.Now()
+		for i := range uint64(100) {
+			p.ConnectionLost(request(10+i), endpoint("a"))
+			time.Sleep(5 * time.Millisecond)
+		}
+		Eventually(reports, "5s").Should(Equal(100))
+		allowed := quarantine.WriteBurst + int(time.Since(began)/quarantine.WriteInterval)
+		Expect(store.Count("commit")).To(BeNumerically("<=", allowed))
+	})
+
 	// In an outage every process of a large fleet may have ends to report.
 	It("calls a store that is down ever less often", func() {
 		store.SetDown(true)
--- a/internal/agentless/quarantine/reports.go
+++ b/internal/agentless/quarantine/reports.go
@@ -14,6 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"siskinloom.example/siskinloom/internal/agentless/cluster"
 	"siskinloom.example/siskinloom/internal/events"
@@ -30,9 +31,13 @@
 	maxReports = 512
 	// maxPathBytes limits the path in a report.
 	maxPathBytes = 200
-	// writeInterval is the least time between two writes of a process, so that the crash of many
-	// endpoints costs few calls.
+	// writeInterval is the least mean time between the writes of a process, so that the crash of
+	// many endpoints costs few calls.
 	writeInterval = 250 * time.Millisecond
+	// writeBurst is how many writes a process may make at once after a pause. One request can end
+	// two endpoints of a service of three within milliseconds; other processes must know of both
+	// before they send a copy of it to the last one.
+	writeBurst = 3
 	// maxRetryDelay bounds the delay before a failed write is repeated. In an outage every process
 	// of a large fleet may have something to write.
 	maxRetryDelay = 5 * time.Second
@@ -138,6 +143,7 @@
 
 // Run writes this process's reports and removals to the store until ctx ends.
 func (q *Quarantine) Run(ctx context.Context) error {
+	limiter := rate.NewLimiter(rate.Every(writeInterval), writeBurst)
 	delay := writeInterval
 	for {
 		select {
@@ -145,21 +151,22 @@
 			return nil
 		case <-q.wake:
 		}
-		wait := writeInterval
-		more, err := q.write(ctx)
-		if err != nil {
-			delay = min(2*delay, maxRetryDelay)
-			wait = delay/2 + rand.N(delay/2)
-		} else {
-			delay = writeInterval
+		if limiter.Wait(ctx) != nil {
+			return nil // ctx has ended
 		}
+		more, err := q.write(ctx)
 		if more {
 			q.notify()
 		}
+		if err == nil {
+			delay = writeInterval
+			continue
+		}
+		delay = min(2*delay, maxRetryDelay)
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-time.After(wait):
+		case <-time.After(delay/2 + rand.N(delay/2)):
 		}
 	}
 }
