Quarantine: do not use a time in the future from a report

A caller of a suspect waits for further reports until 150 ms after the last end. With a report of a process whose clock is ahead it waited until its deadline, and the suspicion lasted longer.

--- a/internal/agentless/quarantine/export_test.go
+++ b/internal/agentless/quarantine/export_test.go
@@ -5,3 +5,6 @@
 	WriteInterval = writeInterval
 	WriteBurst    = writeBurst
 )
+
+// EncodeReport returns a report as the store has it.
+func EncodeReport(r Report) ([]byte, error) { return r.encode() }
--- a/internal/agentless/quarantine/reports.go
+++ b/internal/agentless/quarantine/reports.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"encoding/gob"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -38,6 +39,8 @@
 	// two endpoints of a service of three within milliseconds; other processes must know of both
 	// before they send a copy of it to the last one.
 	writeBurst = 3
+	// maxClockSkew is by how much the time in a report may be ahead without a log line.
+	maxClockSkew = time.Second
 	// maxRetryDelay bounds the delay before a failed write is repeated. In an outage every process
 	// of a large fleet may have something to write.
 	maxRetryDelay = 5 * time.Second
@@ -114,6 +117,7 @@
 		events.FleetRecordUnreadable.Log(q.log, logrus.Fields{"key": record.Key, "error": err.Error()})
 		return
 	}
+	q.limitTime(time.Now(), record.Key, &r)
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if known := q.reports[r.Fingerprint][record.Key]; known != nil {
@@ -123,6 +127,19 @@
 	q.add(record.Key, &knownReport{Report: r, state: stored})
 }
 
+// limitTime replaces a time in the future by now. A suspicion would last, and a caller would wait
+// for further reports, until that time has passed.
+func (q *Quarantine) limitTime(now time.Time, key string, r *Report) {
+	ahead := r.at().Sub(now)
+	if ahead <= 0 {
+		return
+	}
+	if ahead > maxClockSkew {
+		events.FleetRecordUnreadable.Log(q.log, logrus.Fields{"key": key, "error": fmt.Sprintf("quarantine: report of %s: UnixMilli is %v ahead", r.Reporter, ahead)})
+	}
+	r.UnixMilli = now.UnixMilli()
+}
+
 // Deleted applies the removal of a report from the store.
 func (q *Quarantine) Deleted(key string) {
 	fingerprint, err := fingerprintOf(key)
--- a/internal/agentless/quarantine/spare_test.go
+++ b/internal/agentless/quarantine/spare_test.go
@@ -7,9 +7,12 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"siskinloom.example/siskinloom/internal/agentless/cluster"
 	"siskinloom.example/siskinloom/internal/agentless/directory"
 	"siskinloom.example/siskinloom/internal/agentless/mechanism"
 	"siskinloom.example/siskinloom/internal/agentless/quarantine"
+	"siskinloom.example/siskinloom/internal/kv"
+	"siskinloom.example/siskinloom/internal/policy/poison"
 	"siskinloom.example/siskinloom/internal/standin"
 )
 
@@ -73,6 +76,29 @@
 		Expect(second.Admit(quarantine.Copy{Fingerprint: harmless, Service: "app"}).Only).To(BeNil())
 	})
 
+	// Guards against an entry that holds a request of a suspect until its caller gives up: the time
+	// until which reports of other processes are awaited was taken from the clock of the reporter.
+	It("does not wait for a report whose time lies in the future", func() {
+		for _, id := range []string{"b", "c"} {
+			d.Remove(id)
+		}
+		d.Put(*endpoint("b"))
+		value, err := quarantine.EncodeReport(quarantine.Report{
+			Fingerprint: suspect, Service: "app", Endpoint: "a", StartedAtMillis: 1, Reporter: "ahead", UnixMilli: time.Now().Add(time.Hour).UnixMilli(),
+		})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = store.Commit(context.Background(), kv.Transaction{Puts: []kv.Put{{Key: cluster.CrashPrefix + poison.FormatFingerprint(suspect) + "/x", Value: value}}})
+		Expect(err).NotTo(HaveOccurred())
+		p := start("p1")
+		Eventually(func() bool { return admits(p).Admitted }, "5s").Should(BeFalse())
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		a := p.AdmitSettled(ctx, quarantine.Copy{Fingerprint: suspect, Service: "app"})
+		Expect(a.Admitted).To(BeFalse())
+		Expect(ctx.Err()).NotTo(HaveOccurred())
+		Expect(p.log.lines(`"event":2207`)).To(Equal(1))
+	})
+
 	DescribeTable("does not count an endpoint as healthy", func(lose func(p *process)) {
 		p := start("p1")
 		p.ConnectionLost(request(suspect), endpoint("a"))
