Quarantine: apply the limit of two ends only to services with one endpoint

The limit was chosen by the number of engines with the weights that a text needs. While only one of several engines had them, two ends quarantined a text for an hour.

--- a/internal/agentless/quarantine/spare.go
+++ b/internal/agentless/quarantine/spare.go
@@ -239,6 +239,7 @@
 	listed := map[string]bool{}
 	for _, e := range q.Directory.List(c.Service) {
 		if !c.serves(&e.Endpoint) {
+			view.Others++
 			continue
 		}
 		listed[e.ID] = true
--- a/internal/agentless/quarantine/spare_test.go
+++ b/internal/agentless/quarantine/spare_test.go
@@ -150,6 +150,30 @@
 		Expect(p.Admit(quarantine.Copy{Fingerprint: harmless, Service: "app"}).RetryAfter).To(BeNumerically("<", 3500*time.Millisecond))
 	})
 
+	// Guards against a quarantine for an hour after two ends, the limit of a service with one
+	// endpoint, while only one of several engines has the weights that a text needs.
+	It("counts the engines with other weights when it limits the ends under a text", func() {
+		p := start("p1")
+		ended["b:1"] = true
+		for _, id := range []string{"a", "b"} {
+			p.ConnectionLost(request(suspect), endpoint(id))
+		}
+		versions := map[string]int64{"a": 4, "b": 4, "c": 5}
+		for id, version := range versions {
+			e := endpoint(id)
+			if id != "c" {
+				e.StartedAtMillis = 2
+			}
+			e.Versions = map[string]int64{"m": version}
+			p.EndpointListed(e)
+			d.Put(*e)
+		}
+		a := p.Admit(quarantine.Copy{Fingerprint: suspect, Service: "app", Model: "m", MinVersion: 5})
+		Expect(a.Quarantined).To(BeFalse())
+		Expect(a.Admitted).To(BeTrue())
+		a.Ended()
+	})
+
 	It("goes by the number of ends while the mechanism is off, and holds nothing back", func() {
 		p := start("p1")
 		p.Switches = &mechanism.Switches{}
--- a/internal/policy/poison/spare.go
+++ b/internal/policy/poison/spare.go
@@ -32,6 +32,9 @@
 type Service struct {
 	Healthy []string // IDs of those that are listed, not leaving and not known to have ended
 	Size    int      // number of endpoints, with those that are leaving and those that ended and are expected back
+	// Others is the number of endpoints that are listed but have not the weights that the request
+	// needs. The end of its only endpoint does not interrupt a service that has others.
+	Others int
 	// Tried holds the IDs of healthy endpoints that did not run the request when it was sent to
 	// them. A suspect goes to another one.
 	Tried []string
@@ -98,7 +101,7 @@
 	}
 	view := service()
 	tied, outweighed := r.rivals(id, ends)
-	if len(ends) >= r.limit(view.Size) && len(tied) == 1 && !outweighed {
+	if len(ends) >= r.limit(view.Size+view.Others) && len(tied) == 1 && !outweighed {
 		r.quarantineSuspect(now, id)
 		return Decision{Quarantined: true, Until: r.BlockedUntil(now, id), Reason: "quarantined"}
 	}
