Batch jobs: move a text by time only to an engine with its weight version

The first run of a text requires no version, and the choice of the engine used that. With a job that requires one version per text, the engine refused the text, which then began anew.

--- a/internal/agentless/batchrun/moves.go
+++ b/internal/agentless/batchrun/moves.go
@@ -53,7 +53,7 @@
 		return false
 	}
 	request := engineRequest(r.job.job.Spec, r.start, now)
-	request.Placement = r.placementHere(now, load, seconds, speeds)
+	request.Placement, request.Version = r.placementHere(now, load, seconds, speeds)
 	if !request.Critical {
 		return false
 	}
@@ -73,14 +73,16 @@
 }
 
 // placementHere returns the data by which the text is placed, as it would end at its current
-// engine.
-func (r *itemRun) placementHere(now time.Time, load *schedule.Load, seconds float64, speeds endpoints.SpeedLevels) endpoints.Placement {
+// engine, and the only version that may continue it, 0 if any may. A run that began without a
+// version may have one by now.
+func (r *itemRun) placementHere(now time.Time, load *schedule.Load, seconds float64, speeds endpoints.SpeedLevels) (p endpoints.Placement, version int64) {
 	spec := r.job.job.Spec
 	view := schedule.Job{Age: now.Sub(spec.Submitted).Seconds(), Due: dueSeconds(spec), EventSeconds: speeds.Fast, TypicalSeconds: seconds}
 	r.job.mu.Lock()
 	remaining, spare := r.job.job.RemainingWork(r.start.Index), r.job.job.Spare(r.start.Index)
+	version = r.job.job.RequiredVersion(r.start.Index)
 	r.job.mu.Unlock()
-	return endpoints.Placement{RemainingWork: remaining, Weight: load.Weight(&view, remaining, spare), Critical: load.WaitsFor(&view, remaining, spare)}
+	return endpoints.Placement{RemainingWork: remaining, Weight: load.Weight(&view, remaining, spare), Critical: load.WaitsFor(&view, remaining, spare)}, version
 }
 
 // continueElsewhere starts the run at the engine that was picked for a text, and returns nil if
--- a/internal/policy/batch/start.go
+++ b/internal/policy/batch/start.go
@@ -70,11 +70,15 @@
 func (j *Job) StartRun(i int) RunStart {
 	it := &j.items[i]
 	it.phase = running
-	start := RunStart{Index: i, ResumeAfter: it.lastEvent, PreviousEngine: it.lastEngine}
-	if j.Spec.SingleVersion && len(it.versions) > 0 {
-		start.RequiredVersion = it.versions[0]
+	return RunStart{Index: i, ResumeAfter: it.lastEvent, PreviousEngine: it.lastEngine, RequiredVersion: j.RequiredVersion(i)}
+}
+
+// RequiredVersion returns the only weight version that may continue an item's text, 0 if any may.
+func (j *Job) RequiredVersion(i int) int64 {
+	if it := &j.items[i]; j.Spec.SingleVersion && len(it.versions) > 0 {
+		return it.versions[0]
 	}
-	return start
+	return 0
 }
 
 // Postpone makes a running item wait again until the given time. Callers use it if no
