Batch jobs: check the loads that other owners report

A load that is not a number made the weights of all runs not a number, and a negative number of requests made an engine seem to have free slots.

--- a/internal/agentless/batchrun/export_test.go
+++ b/internal/agentless/batchrun/export_test.go
@@ -8,6 +8,7 @@
 	"siskinloom.example/siskinloom/internal/kv"
 	"siskinloom.example/siskinloom/internal/policy/batch"
 	"siskinloom.example/siskinloom/internal/policy/endpoints"
+	"siskinloom.example/siskinloom/internal/policy/schedule"
 )
 
 // MarkedUnresponsive reports whether a process was found unresponsive.
@@ -142,3 +143,6 @@
 	p.observe(now)
 	return p.recent()
 }
+
+// ReportedLoad returns the sum of the loads that other owners sent.
+func ReportedLoad(o *Owner) schedule.Load { return o.loads.total(time.Now()) }
--- a/internal/agentless/batchrun/loads.go
+++ b/internal/agentless/batchrun/loads.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
 	"siskinloom.example/siskinloom/internal/agentless/mechanism"
+	"siskinloom.example/siskinloom/internal/events"
 	"siskinloom.example/siskinloom/internal/policy/endpoints"
 	"siskinloom.example/siskinloom/internal/policy/schedule"
 )
@@ -81,7 +84,17 @@
 // Load records another owner's load. It is called by net/rpc.
 func (s *Service) Load(args LoadArgs, _ *struct{}) error {
 	now := time.Now()
-	s.owner.loads.record(now, args.From, args.Load)
+	if field, value := loadFault(&args.Load); field == "" {
+		s.owner.loads.record(now, args.From, args.Load)
+	} else {
+		s.owner.logLoadFault(now, &args, field, value)
+	}
+	for id, share := range args.Shares {
+		if share.InFlight < 0 || share.Heavy < 0 || !validLoad(share.Burden+burdenTolerance) {
+			delete(args.Shares, id)
+			s.owner.logLoadFault(now, &args, "Shares", share)
+		}
+	}
 	if s.owner.Switches.On(mechanism.ShareLoad) {
 		s.owner.Directory.SetReport(now, args.Service, args.From, args.Shares)
 	}
@@ -89,6 +102,36 @@
 	return nil
 }
 
+const (
+	// maxLoadValue is the largest accepted value of a load: more events or seconds than any job has.
+	maxLoadValue = 1e9
+	// burdenTolerance allows for rounding: a burden is a sum to which values were added and from
+	// which they were subtracted.
+	burdenTolerance = 1e-6
+)
+
+func validLoad(value float64) bool { return value >= 0 && value <= maxLoadValue }
+
+// loadFault returns the first field of a load whose value is out of range, or an empty string. A
+// value that is not a number would make all weights of this process's runs not a number.
+func loadFault(l *schedule.Load) (field string, value any) {
+	switch {
+	case !validLoad(l.Projected):
+		return "Load.Projected", l.Projected
+	case !validLoad(l.Work):
+		return "Load.Work", l.Work
+	case !validLoad(l.Longest):
+		return "Load.Longest", l.Longest
+	}
+	return "", nil
+}
+
+func (o *Owner) logLoadFault(now time.Time, args *LoadArgs, field string, value any) {
+	if unwritten, ok := o.speeds.mayLog(now, args.From); ok {
+		events.LoadNotUsed.Log(o.Log, logrus.Fields{"from": args.From, "service": args.Service, "field": field, "value": fmt.Sprint(value), "unwritten": unwritten})
+	}
+}
+
 // sendLoads sends this process's load to the other owners until ctx ends.
 func (o *Owner) sendLoads(ctx context.Context) error {
 	if o.OtherOwners == nil {
--- a/internal/agentless/batchrun/speeds_test.go
+++ b/internal/agentless/batchrun/speeds_test.go
@@ -20,6 +20,7 @@
 	"siskinloom.example/siskinloom/internal/deployment"
 	eventlog "siskinloom.example/siskinloom/internal/events"
 	"siskinloom.example/siskinloom/internal/policy/endpoints"
+	"siskinloom.example/siskinloom/internal/policy/schedule"
 	"siskinloom.example/siskinloom/internal/policy/speed"
 	"siskinloom.example/siskinloom/internal/standin"
 )
@@ -115,6 +116,24 @@
 		Expect(hook.AllEntries()).To(HaveLen(20), "the log is not flooded")
 	})
 
+	// Guards against a load that is not a number: the weights of all runs would not be either, and
+	// a negative number of requests would make an engine seem to have free slots for ever.
+	It("come with loads that are checked as well", func() {
+		o, hook := speedOwner("b", 2)
+		Expect(batchrun.ReceiveLoad(o, batchrun.LoadArgs{
+			From: "a", Service: "llm", Load: schedule.Load{Projected: math.NaN()},
+			Shares: map[string]endpoints.ProcessLoad{engineID(0): {InFlight: -5}, engineID(1): {InFlight: 1, Burden: 2}},
+		})).To(Succeed())
+		Expect(hook.AllEntries()).To(HaveLen(2))
+		Expect(hook.AllEntries()[0].Data).To(And(HaveKeyWithValue("event", eventlog.LoadNotUsed.Number), HaveKeyWithValue("from", "a"), HaveKeyWithValue("field", "Load.Projected")))
+		Expect(hook.AllEntries()[1].Data).To(HaveKeyWithValue("field", "Shares"))
+		Expect(batchrun.ReportedLoad(o)).To(Equal(schedule.Load{}))
+		for range 2 {
+			pick := o.Directory.Pick("llm", endpoints.Request{Now: time.Now(), Model: "m"})
+			Expect(pick.Others()).To(Equal(map[string]int{engineID(0): 0, engineID(1): 1}[pick.ID]))
+		}
+	})
+
 	It("don't make the loads of the message invalid, if they have another type or the receiver is older", func() {
 		o, hook := speedOwner("b", 4)
 		args := message(nil)
--- a/internal/events/fleet.go
+++ b/internal/events/fleet.go
@@ -101,6 +101,7 @@
 	SpeedNotUsed = define(2500, logrus.WarnLevel, "speed reported by another process is not used")
 	SpeedChanged = define(2501, logrus.InfoLevel, "speed of an endpoint changed")
 	SpeedsUneven = define(2502, logrus.InfoLevel, "speeds of a service's endpoints became uneven or even")
+	LoadNotUsed  = define(2503, logrus.WarnLevel, "load reported by another process is not used")
 )
 
 // Events of the placement by time: 2510 to 2519.
