--- /dev/null
+++ b/internal/agentless/quarantine/export_test.go
@@ -0,0 +1,10 @@
+package quarantine
+
+// Limits of the calls to the store, for specs.
+const (
+	WriteInterval = writeInterval
+	WriteBurst    = writeBurst
+)
+
+// EncodeReport returns a report as the store has it.
+func EncodeReport(r Report) ([]byte, error) { return r.encode() }
--- a/internal/agentless/quarantine/spare.go
+++ b/internal/agentless/quarantine/spare.go
@@ -137,6 +137,9 @@
 	defer q.mu.Unlock()
 	q.applySwitch()
 	look := func() poison.Service {
+		if c.Model != "" && !q.registry.Suspected(requestID(c.Fingerprint)) {
+			return poison.Service{Engines: true} // only this matters, and listing many engines takes a millisecond
+		}
 		view = q.view(now, &c)
 		return view
 	}
@@ -239,6 +242,7 @@
 	listed := map[string]bool{}
 	for _, e := range q.Directory.List(c.Service) {
 		if !c.serves(&e.Endpoint) {
+			view.Others++
 			continue
 		}
 		listed[e.ID] = true
--- a/internal/policy/poison/spare.go
+++ b/internal/policy/poison/spare.go
@@ -32,6 +32,9 @@
 type Service struct {
 	Healthy []string // IDs of those that are listed, not leaving and not known to have ended
 	Size    int      // number of endpoints, with those that are leaving and those that ended and are expected back
+	// Others is the number of endpoints that are listed but have not the weights that the request
+	// needs. The end of its only endpoint does not interrupt a service that has others.
+	Others int
 	// Tried holds the IDs of healthy endpoints that did not run the request when it was sent to
 	// them. A suspect goes to another one.
 	Tried []string
@@ -98,7 +101,7 @@
 	}
 	view := service()
 	tied, outweighed := r.rivals(id, ends)
-	if len(ends) >= r.limit(view.Size) && len(tied) == 1 && !outweighed {
+	if len(ends) >= r.limit(view.Size+view.Others) && len(tied) == 1 && !outweighed {
 		r.quarantineSuspect(now, id)
 		return Decision{Quarantined: true, Until: r.BlockedUntil(now, id), Reason: "quarantined"}
 	}
@@ -267,10 +270,28 @@
 	if len(ends) >= maxContested*r.config.UnattributedCrashes {
 		return false
 	}
-	tied, outweighed := r.rivals(id, ends)
-	return outweighed || len(tied) > 1
+	return r.hasRival(id, ends)
 }
 
+// hasRival reports whether another request ran at all these ends. Each end is followed by a check of
+// all suspects; with hundreds of them, listing the rivals of each would take seconds.
+func (r *Registry) hasRival(id ID, ends []wire.Suspicion) bool {
+	if !r.attribute {
+		return false
+	}
+	for _, group := range []map[ID]*suspect{r.suspects, r.quarantinedSuspects} {
+		for other, s := range group {
+			if other != id && s.unattributed() >= len(ends) && r.ranAtAll(s, ends) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Suspected reports whether an endpoint ended under the request and it was not answered since.
+func (r *Registry) Suspected(id ID) bool { return r.suspects[id] != nil }
+
 // Contested reports whether another request ran at all ends that count against a suspect.
 func (r *Registry) Contested(id ID) bool {
 	ends := r.unexplained(id)
