cluster: an urgent change shortens the delay before the next watch

Cause: two endpoints of a service of three ended within 3 ms under one request. Change: Topic.Urgent; reports of crashes shorten the delay to 20 ms.

--- a/internal/agentless/cluster/follow.go
+++ b/internal/agentless/cluster/follow.go
@@ -36,6 +36,11 @@
 	// idleCheckInterval is how often an idle follower checks whether its topic is still
 	// idle.
 	idleCheckInterval = time.Second
+	// urgentCoalesceDelay replaces a longer CoalesceDelay after an urgent change. The reports
+	// of two endpoints that end under one request follow each other within milliseconds, and
+	// a process that knows only of the first one sends its copy to a third endpoint. A crash
+	// of many endpoints costs each follower at most 50 calls per second.
+	urgentCoalesceDelay = 20 * time.Millisecond
 )
 
 // Follower watches one prefix of the store and applies the changes to its topic,
@@ -67,15 +72,13 @@
 	wait := time.Duration(0)    // the first call shows whether the store answers at all
 	var historyLostAt time.Time // when the store last lacked the history that a watch needed
 	for ctx.Err() == nil {
-		next, changed, err := f.step(ctx, asOf, wait)
+		next, delay, err := f.step(ctx, asOf, wait)
 		if err == nil {
 			wait = max(f.WatchTimeout, minWatchTimeout)
 			asOf = next
 			backoff = initialBackoff
 			f.succeeded(asOf)
-			if changed {
-				sleep(ctx, f.CoalesceDelay)
-			}
+			sleep(ctx, delay)
 			continue
 		}
 		wait = 0 // a recovered store is noticed by its first answer, not at the end of a watch
@@ -106,27 +109,40 @@
 }
 
 // step makes one call to the store: a listing if asOf is 0, otherwise a watch. It
-// returns the revision that the topic has reached, and whether a watch returned
-// changes. If the topic is idle, it only pauses.
-func (f *Follower) step(ctx context.Context, asOf int64, wait time.Duration) (next int64, changed bool, err error) {
+// returns the revision that the topic has reached, and the delay before the next call. If
+// the topic is idle, it only pauses.
+func (f *Follower) step(ctx context.Context, asOf int64, wait time.Duration) (next int64, delay time.Duration, err error) {
 	switch {
 	case f.Topic.isIdle():
 		sleep(ctx, idleCheckInterval)
-		return asOf, false, nil
+		return asOf, 0, nil
 	case asOf <= 0:
 		next, err = f.list(ctx)
-		return next, false, err
+		return next, 0, err
 	}
 	changes, err := f.Store.Await(ctx, f.Topic.Prefix, asOf, wait)
 	if err != nil {
-		return 0, false, err
+		return 0, 0, err
 	}
 	for _, c := range changes.Changes {
 		f.Topic.apply(c)
 	}
 	asOf = max(asOf, changes.AsOf)
 	f.Topic.advance(asOf)
-	return asOf, len(changes.Changes) > 0, nil
+	return asOf, f.coalesceDelay(changes.Changes), nil
+}
+
+// coalesceDelay returns the delay after a watch that returned the changes.
+func (f *Follower) coalesceDelay(changes []kv.Change) time.Duration {
+	if len(changes) == 0 {
+		return 0
+	}
+	for _, c := range changes {
+		if f.Topic.Urgent != nil && f.Topic.Urgent(c.Record.Key) {
+			return min(f.CoalesceDelay, urgentCoalesceDelay)
+		}
+	}
+	return f.CoalesceDelay
 }
 
 // list applies a listing of the prefix and returns its revision.
--- a/internal/agentless/cluster/registrar.go
+++ b/internal/agentless/cluster/registrar.go
@@ -77,9 +77,11 @@
 
 // Topic returns the topic that keeps Members up to date.
 func (r *Registrar) Topic() *Topic {
-	return &Topic{Prefix: prefixLive, Changed: r.changed, Deleted: r.deleted, Listed: r.listDone}
+	return &Topic{Prefix: prefixLive, Changed: r.changed, Deleted: r.deleted, Listed: r.listDone, Urgent: isCrashReport}
 }
 
+func isCrashReport(key string) bool { return strings.HasPrefix(key, CrashPrefix) }
+
 // listDone is called after each listing. The first one logs a summary; a log line for
 // each of hundreds of processes at each listing would hide everything else.
 func (r *Registrar) listDone() {
--- a/internal/agentless/cluster/topic.go
+++ b/internal/agentless/cluster/topic.go
@@ -31,6 +31,9 @@
 	Scopes func() (scopes []string, known bool)
 	// Idle reports whether changes are of no use at present; it may be nil.
 	Idle func() bool
+	// Urgent reports whether further changes are likely soon after one of the key and must
+	// not wait for Follower.CoalesceDelay; it may be nil.
+	Urgent func(key string) bool
 	// Relay receives all changes, to serve them to other processes; it may be nil.
 	Relay *Relay
 	// SubTopic receives the changes under its own prefix, which must be within this
