--- a/internal/agentless/gate/execution.go
+++ b/internal/agentless/gate/execution.go
@@ -178,6 +178,9 @@
 	if a.full != "" {
 		e.noteFull(a.full)
 	}
+	if e.waiting != nil && e.waiting.claim.extra && e.neverRan() {
+		e.leaveQueue() // its hedge waits behind all first attempts, but no attempt was sent
+	}
 	if a.notRun || e.route.Repeatable() && e.spendRetry() {
 		e.gate.retries.Inc(1)
 		if !e.requestAttempt(ctx) {
@@ -237,7 +240,7 @@
 // hedge sends the request to one more endpoint while other attempts are pending, and returns
 // whether it did.
 func (e *execution) hedge(ctx context.Context) bool {
-	if e.inFlight == 0 || e.waiting != nil || !e.gate.Switches.On(mechanism.Hedges) || !e.spendRetry() {
+	if !e.route.Repeatable() || e.inFlight == 0 || e.waiting != nil || !e.gate.Switches.On(mechanism.Hedges) || !e.spendRetry() {
 		return false
 	}
 	first := e.lastTried()
--- a/internal/agentless/gate/queue.go
+++ b/internal/agentless/gate/queue.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"strconv"
@@ -78,24 +79,25 @@
 	gate    *Gate
 	metrics *queueMetrics
 
-	mu          sync.Mutex
-	policy      *admission.Queue
-	limiter     *limit.Limiter
-	estimator   *limit.Estimator
-	budget      *retry.Budget        // of retries, by customer
-	lastGrant   map[string]time.Time // time of the last grant of retries by customer
-	waiters     map[string]*waiter
-	refused     map[string]map[string]int64
-	timer       *time.Timer
-	lastID      uint64
-	refreshedAt time.Time
-	table       *routes.Table // as of the last refresh
-	longest     time.Duration // longest timeout of a route to the service
-	assigned    int           // slots that Shares assigned; 0: none
-	queueLimit  int
-	leaveBy     time.Time // end of the process; zero: not known
-	fullAt      time.Time // when all endpoints that a request was sent to last refused it
-	pressure    pressureLog
+	mu            sync.Mutex
+	policy        *admission.Queue
+	limiter       *limit.Limiter
+	estimator     *limit.Estimator
+	budget        *retry.Budget        // of retries, by customer
+	lastGrant     map[string]time.Time // time of the last grant of retries by customer
+	waiters       map[string]*waiter
+	refused       map[string]map[string]int64 // by customer and reason
+	formerRefused map[string]int64            // by reason, of customers that are no longer declared
+	timer         *time.Timer
+	lastID        uint64
+	refreshedAt   time.Time
+	table         *routes.Table // as of the last refresh
+	longest       time.Duration // longest timeout of a route to the service
+	assigned      int           // slots that Shares assigned; 0: none
+	queueLimit    int
+	leaveBy       time.Time // end of the process; zero: not known
+	fullAt        time.Time // when all endpoints that a request was sent to last refused it
+	pressure      pressureLog
 }
 
 func newServiceQueue(g *Gate, service string) *serviceQueue {
@@ -103,7 +105,7 @@
 		service: service, gate: g, metrics: newQueueMetrics(g.registry, service),
 		policy: admission.New(admission.Config{Slots: 1, QueueLimit: 1, Flat: true}), limiter: limit.New(limit.Config{Min: 1, Max: 1, Shared: true}),
 		estimator: limit.NewEstimator(), budget: retry.NewBudget(), lastGrant: map[string]time.Time{},
-		waiters: map[string]*waiter{}, refused: map[string]map[string]int64{},
+		waiters: map[string]*waiter{}, refused: map[string]map[string]int64{}, formerRefused: map[string]int64{},
 	}
 	q.timer = time.AfterFunc(time.Hour, q.tick)
 	return q
@@ -268,7 +270,28 @@
 		}
 	}
 	q.policy.Prune()
-	q.budget, q.lastGrant = retry.NewBudget(), map[string]time.Time{}
+	q.forgetCustomers(table.Declaration.Customers)
+}
+
+// forgetCustomers drops what is known of customers that are no longer declared. Their refusals
+// still count for the service.
+func (q *serviceQueue) forgetCustomers(declared []deployment.Customer) {
+	known := make(map[string]bool, len(declared)+1)
+	known[""] = true // requests without a customer's key
+	for i := range declared {
+		known[declared[i].Name] = true
+	}
+	q.budget.Retain(func(customer string) bool { return known[customer] })
+	maps.DeleteFunc(q.lastGrant, func(customer string, _ time.Time) bool { return !known[customer] })
+	for customer, byReason := range q.refused {
+		if known[customer] {
+			continue
+		}
+		for reason, n := range byReason {
+			q.formerRefused[reason] += n
+		}
+		delete(q.refused, customer)
+	}
 }
 
 func sendsTo(r *deployment.Route, service string) bool {
--- a/internal/agentless/gate/shares.go
+++ b/internal/agentless/gate/shares.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -92,6 +93,7 @@
 	for _, d := range q.demands() {
 		customers[d.Customer] = CustomerStatus{Customer: d.Customer, InFlight: d.InFlight, Waiting: d.Waiting}
 	}
+	maps.Copy(status.Refused, q.formerRefused)
 	for customer, byReason := range q.refused {
 		c := customers[customer]
 		c.Customer, c.Refused = customer, map[string]int64{}
--- a/internal/agentless/sharerun/lines.go
+++ b/internal/agentless/sharerun/lines.go
@@ -45,10 +45,10 @@
 	if age := now.Sub(l.began); age < 0 || age >= lineInterval {
 		l.began = now
 		for known, n := range l.omitted {
-			if n == 0 {
-				delete(l.omitted, known)
-			} else {
+			if n > 0 {
 				l.omitted[known] = -n // to be told by the next line
+			} else {
+				delete(l.omitted, known)
 			}
 		}
 	}
--- a/internal/agentless/sharerun/sharerun.go
+++ b/internal/agentless/sharerun/sharerun.go
@@ -17,6 +17,7 @@
 	"siskinloom.example/siskinloom/internal/agentless/cluster"
 	"siskinloom.example/siskinloom/internal/agentless/directory"
 	"siskinloom.example/siskinloom/internal/agentless/mechanism"
+	"siskinloom.example/siskinloom/internal/deployment"
 	"siskinloom.example/siskinloom/internal/events"
 	"siskinloom.example/siskinloom/internal/periodic"
 	"siskinloom.example/siskinloom/internal/policy/fairshare"
@@ -114,6 +115,7 @@
 		r.reset()
 		return
 	}
+	r.retain(table.Declaration.Services)
 	fleet := fairshare.Fleet{}
 	for name, service := range table.Declaration.Services {
 		// The endpoints of models are divided by the owners of jobs, see batchrun.LoadArgs.
@@ -135,6 +137,20 @@
 	}
 }
 
+// retain forgets the shares of services that are no longer declared or that now serve models.
+func (r *Runner) retain(declared map[string]deployment.Service) {
+	if !r.active.Load() {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.client.Retain(func(name string) bool {
+		service, found := declared[name]
+		return found && len(service.Models) == 0
+	})
+	r.publish()
+}
+
 // idle returns whether a check of the service needs no knowledge of the fleet.
 func (r *Runner) idle(now time.Time, v *fairshare.View) bool {
 	return !r.active.Load() && !fairshare.UnderPressure(now, v)
--- a/internal/agentless/sharerun/sharerun_test.go
+++ b/internal/agentless/sharerun/sharerun_test.go
@@ -58,6 +58,7 @@
 	queue    queue
 	switches mechanism.Switches
 	registry metrics.Registry
+	known    *directory.Directory
 	log      *gbytes.Buffer
 	stop     context.CancelFunc
 }
@@ -92,6 +93,7 @@
 	for i := range 3 {
 		d.Put(deployment.Endpoint{ID: fmt.Sprint("app", i), Service: "app", Address: "x:1", Slots: 6})
 	}
+	p.known = d
 	p.shares = sharerun.New(sharerun.Config{Self: p.self, Directory: d, Members: f.members, Peers: rpcpool.New(nil), Switches: &p.switches, Log: log, Registry: p.registry})
 	p.shares.AddSource(&p.queue)
 	server := rpc.NewServer()
@@ -179,6 +181,14 @@
 		Expect(worker.count("shares.values.unused")).To(BeEquivalentTo(100))
 	})
 
+	It("forget a service that is no longer declared", func() {
+		// Its entry would shorten the reports about all others and have each request take a lock.
+		one.queue.set(fairshare.Demand{Customer: "a", Weight: 1, Waiting: 90})
+		Eventually(one.slots).WithTimeout(timeout).Should(Equal(18))
+		one.known.Declare(&deployment.Declaration{Version: 2, Customers: tenants, Services: map[string]deployment.Service{"llm": {Name: "llm", Models: []string{"m"}}}})
+		Eventually(func() int64 { return metrics.GetOrRegisterGauge("shares.services", one.registry).Value() }).WithTimeout(timeout).Should(BeZero())
+	})
+
 	It("are not limited, and send nothing, once the mechanism is disabled", func() {
 		one.queue.set(fairshare.Demand{Customer: "a", Weight: 1, Waiting: 90})
 		Eventually(one.slots).WithTimeout(timeout).Should(Equal(18))
--- a/internal/policy/fairshare/client.go
+++ b/internal/policy/fairshare/client.go
@@ -1,6 +1,7 @@
 package fairshare
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -90,6 +91,11 @@
 // Reset forgets all services.
 func (c *Client) Reset() { clear(c.services) }
 
+// Retain forgets services for which keep returns false: they are no longer declared.
+func (c *Client) Retain(keep func(service string) bool) {
+	maps.DeleteFunc(c.services, func(service string, _ *clientService) bool { return !keep(service) })
+}
+
 // Check returns the calls that are due for a service. It must be called regularly, at intervals
 // below the base interval; Answered or Failed must be called for each call.
 func (c *Client) Check(now time.Time, v View, f Fleet) ([]Call, Change) {
--- a/internal/policy/retry/retry.go
+++ b/internal/policy/retry/retry.go
@@ -5,6 +5,7 @@
 package retry
 
 import (
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -72,6 +73,11 @@
 	return true
 }
 
+// Retain drops the budgets of businesses for which keep returns false.
+func (b *Budget) Retain(keep func(business string) bool) {
+	maps.DeleteFunc(b.buckets, func(business string, _ *bucket) bool { return !keep(business) })
+}
+
 func (b *Budget) bucket(business string) *bucket {
 	k := b.buckets[business]
 	if k == nil {
