--- a/internal/agentless/batchrun/moves.go
+++ b/internal/agentless/batchrun/moves.go
@@ -1,7 +1,6 @@
 package batchrun
 
 import (
-	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -122,29 +121,15 @@
 )
 
 // moveTimes tracks the time from the start of a run to its first event: the connection, and the
-// processing of the prompt and the text so far. It is safe for concurrent use.
-type moveTimes struct {
-	mu   sync.Mutex
-	mean time.Duration // running mean; 0: no run yet
-}
+// processing of the prompt and the text so far.
+type moveTimes struct{ mean meanTime }
 
-func (t *moveTimes) observe(took time.Duration) {
-	took = min(took, maxMoveTime)
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.mean == 0 {
-		t.mean = took
-		return
-	}
-	t.mean += time.Duration(moveTimeWeight * float64(took-t.mean))
-}
+func (t *moveTimes) observe(took time.Duration) { t.mean.add(min(took, maxMoveTime), moveTimeWeight) }
 
 // typical returns the expected price of a move.
 func (t *moveTimes) typical() time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.mean == 0 {
-		return defaultMoveTime
+	if mean := t.mean.value(); mean > 0 {
+		return mean
 	}
-	return t.mean
+	return defaultMoveTime
 }
--- a/internal/policy/choose/choose.go
+++ b/internal/policy/choose/choose.go
@@ -2,6 +2,9 @@
 // endpoints that may not receive it, a picker samples from the rest, and scorers
 // compare the sampled ones. Each is a small type behind an interface with one
 // method. A choice does not allocate.
+//
+// It serves deployments with agents, whose answers report the load of their endpoint. Package
+// endpoints does the same for processes that know only the outcomes of their own requests.
 package choose
 
 import (
--- a/internal/policy/endpoints/delay.go
+++ b/internal/policy/endpoints/delay.go
@@ -91,3 +91,19 @@
 	}
 	return false
 }
+
+// HasFaster reports whether a request that has taken pace seconds per unit of work at
+// its current endpoint would be served much faster at another one with a free slot.
+func (s *Set) HasFaster(r Request, current *State, pace float64) bool {
+	typical := s.TypicalPace()
+	if typical == 0 || pace < moveSlowdown*typical {
+		return false
+	}
+	r.RequireFreeSlot = true
+	for _, e := range s.list {
+		if e != current && e.eligible(&r) && e.available(r.Now) && e.pace > 0 && e.pace*moveSlowdown < pace {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/policy/rollout/scheduler.go
+++ b/internal/policy/rollout/scheduler.go
@@ -3,6 +3,9 @@
 // of the next step is generated while the trainer still works on the current one
 // (run-ahead). All feeds use the same policy; their declared weights of trainer idle time
 // and sample staleness determine the trade-off between the two.
+//
+// It serves trainer feeds of deployments with agents. Batch jobs, which are steps with a due
+// time and without run-ahead, are scheduled by packages batch and schedule.
 package rollout
 
 import (
--- a/internal/policy/schedule/schedule.go
+++ b/internal/policy/schedule/schedule.go
@@ -11,7 +11,8 @@
 //
 // Where engines are of unequal speed, a step of texts of up to 150 events ends in time only if
 // the longest ones run at fast engines. This package then decides which texts a step waits for;
-// package endpoints decides where they run and whether they move.
+// package endpoints decides where they run and whether they move. Trainer feeds, which run ahead of
+// their trainer, are scheduled by package rollout.
 package schedule
 
 import "math"
--- a/internal/policy/speed/endpoint.go
+++ b/internal/policy/speed/endpoint.go
@@ -31,7 +31,7 @@
 	// with the second request at a plain service, as a single request may be a large one.
 	changeUnits, changeObservations = 8, 2
 	// lastingAfter is how long an endpoint must be slower before that counts as lasting.
-	// The known disturbances end within some seconds.
+	// Engines that turn slow for a while recover within some seconds.
 	lastingAfter = 60 * time.Second
 	// lastingWeight is the weight of a new estimate in the lasting speed.
 	lastingWeight = 0.1
