Specs of small services: no limits on wall-clock time

Cause: two new specs compared time on the machine's clock with 250 ms and 1 s, so that a busy machine could fail them. Ruled out: dropping the checks; what they guard against stays checked. Change: the burst of a process's reports is checked on its limiter in virtual time; the refusal at once by a request with an hour until its deadline, and the 150 ms for which a decision may be waited for in the policy. Each fails without what it guards: a burst of one, a settle time of 30 min.

--- a/internal/agentless/gate/spare_test.go
+++ b/internal/agentless/gate/spare_test.go
@@ -171,8 +171,13 @@
 			}
 			_, most := endpoints.counts()
 			Expect(most).To(Equal(allowed))
-			began := time.Now()
-			o := serve(g, "poison")
+			// With an hour until its deadline, a request that waits for it fails the spec on any machine.
+			patient, r := wide(), request()
+			patient.Timeout, r.Timeout, r.Body = time.Hour, time.Hour, []byte("poison")
+			outcomes := make(chan gate.Outcome, 1)
+			go func() { outcomes <- g.Serve(context.Background(), patient, r) }()
+			var o gate.Outcome
+			Eventually(outcomes, "20s").Should(Receive(&o))
 			Expect(o.End).To(Equal(gate.Quarantined))
 			Expect(o.RetryAfter).To(BeNumerically(">", time.Second))
 			if allowed < len(ids)-1 {
@@ -180,7 +185,6 @@
 			} else {
 				Expect(o.RetryAfter).To(BeNumerically("<", 10*time.Second))
 			}
-			Expect(time.Since(began)).To(BeNumerically("<", time.Second))
 			if len(ids) > 1 {
 				Expect(serve(g, "harmless").End).To(Equal(gate.Answered))
 			}
--- a/internal/agentless/quarantine/export_test.go
+++ b/internal/agentless/quarantine/export_test.go
@@ -1,5 +1,8 @@
 package quarantine
 
+// NewWriteLimiter returns the limit of the writes of one process.
+var NewWriteLimiter = newWriteLimiter
+
 // Limits of the calls to the store, for specs.
 const (
 	WriteInterval = writeInterval
--- a/internal/agentless/quarantine/quarantine_test.go
+++ b/internal/agentless/quarantine/quarantine_test.go
@@ -205,12 +205,16 @@
 	// writeInterval: another entry knew of the first one only and sent a copy to the last endpoint.
 	It("writes the reports of ends that follow each other within milliseconds at once", func() {
 		p := startProcess(store, "p1", ended)
-		began := time.Now()
 		for n, id := range []string{"a", "b"} {
 			p.ConnectionLost(request(poisonous), endpoint(id))
 			Eventually(reports, "5s", "1ms").Should(Equal(n + 1))
 		}
-		Expect(time.Since(began)).To(BeNumerically("<", quarantine.WriteInterval))
+		limiter, now := quarantine.NewWriteLimiter(), time.Unix(1000, 0)
+		Expect(limiter.AllowN(now, 1)).To(BeTrue())
+		Expect(limiter.AllowN(now, 1)).To(BeTrue(), "the second report leaves at once")
+		Expect(limiter.AllowN(now, 1)).To(BeTrue())
+		Expect(limiter.AllowN(now, 1)).To(BeFalse())
+		Expect(limiter.AllowN(now.Add(quarantine.WriteInterval), 1)).To(BeTrue())
 	})
 
 	// Guards against calls to the store that grow with the number of endpoints that end.
--- a/internal/agentless/quarantine/reports.go
+++ b/internal/agentless/quarantine/reports.go
@@ -158,9 +158,12 @@
 	}
 }
 
+// newWriteLimiter returns the limit of the writes of one process.
+func newWriteLimiter() *rate.Limiter { return rate.NewLimiter(rate.Every(writeInterval), writeBurst) }
+
 // Run writes this process's reports and removals to the store until ctx ends.
 func (q *Quarantine) Run(ctx context.Context) error {
-	limiter := rate.NewLimiter(rate.Every(writeInterval), writeBurst)
+	limiter := newWriteLimiter()
 	delay := writeInterval
 	for {
 		select {
--- a/internal/policy/poison/spare_test.go
+++ b/internal/policy/poison/spare_test.go
@@ -71,6 +71,16 @@
 		Expect(r.Decide(now, id(1), service(40, many(39)...), poison.Copies{1: d.Only}).Admitted).To(BeFalse())
 	})
 
+	It("says that waiting for the last healthy endpoint is of no use later than 150 ms after the end", func() {
+		// A caller would be held back although its request cannot be served.
+		end(1, "gone")
+		ended := now
+		now = now.Add(20 * time.Millisecond)
+		d := r.Decide(now, id(1), service(3, "last"), nil)
+		Expect(d.Admitted).To(BeFalse())
+		Expect(d.Settled).To(Equal(ended.Add(150 * time.Millisecond)))
+	})
+
 	It("sends a suspect of engines to any of many, and never to the last healthy one", func() {
 		end(1, "gone")
 		engines := func(size int, healthy ...string) func() poison.Service {
