--- a/internal/agentless/quarantine/evidence.go
+++ b/internal/agentless/quarantine/evidence.go
@@ -128,6 +128,9 @@
 func (q *Quarantine) report(lost lostRequest, why string) {
 	q.fleet.ended(lost.at, &lost.endpoint)
 	if q.registry.RecentlyAnswered(lost.at, requestID(lost.request.Fingerprint)) {
+		events.EndNotCounted.Log(q.log, logrus.Fields{
+			"request": lost.request.ID, "fingerprint": poison.FormatFingerprint(lost.request.Fingerprint), "endpoint": lost.endpoint.ID, "evidence": why,
+		})
 		return
 	}
 	r := newReport(q.self, lost)
--- a/internal/agentless/quarantine/quarantine.go
+++ b/internal/agentless/quarantine/quarantine.go
@@ -11,6 +11,7 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"siskinloom.example/siskinloom/internal/agentless/directory"
 	"siskinloom.example/siskinloom/internal/agentless/mechanism"
@@ -47,6 +48,8 @@
 	suspects metrics.Gauge
 	held     metrics.Counter
 
+	learnedLines *rate.Limiter // of log lines about reports of other processes
+
 	mu       sync.Mutex
 	registry *poison.Registry
 	reports  map[uint64]reportSet // by fingerprint
@@ -84,6 +87,9 @@
 		blocked:  metrics.GetOrRegisterGauge("quarantine.requests", registry),
 		suspects: metrics.GetOrRegisterGauge("quarantine.suspects", registry),
 		held:     metrics.GetOrRegisterCounter("quarantine.held", registry),
+
+		learnedLines: rate.NewLimiter(rate.Every(learnedLineInterval), learnedLineBurst),
+
 		registry: poison.New(poison.SharedConfig(), self),
 		reports:  map[uint64]reportSet{},
 		copies:   poison.Copies{},
--- a/internal/agentless/quarantine/reports.go
+++ b/internal/agentless/quarantine/reports.go
@@ -46,6 +46,12 @@
 	maxRetryDelay = 5 * time.Second
 	// writeTimeout bounds one write.
 	writeTimeout = 2 * time.Second
+	// lateReport is the age from which the write of a report is logged. Others are written within
+	// milliseconds, or some hundred of them after several writes in a row.
+	lateReport = time.Second
+	// learnedLineInterval and learnedLineBurst limit the log lines about reports of other processes.
+	learnedLineInterval = time.Second
+	learnedLineBurst    = 20
 )
 
 // Report says that an endpoint ended while it ran a request. encoding/gob stores it in the
@@ -124,9 +130,22 @@
 		known.state = max(known.state, stored)
 		return
 	}
+	q.logLearned(&r, "store")
 	q.add(record.Key, &knownReport{Report: r, state: stored})
 }
 
+// logLearned logs a report of another process, with its age and where it came from. Reports that a
+// process finds at its start, or after many ends at once, are not all logged.
+func (q *Quarantine) logLearned(r *Report, from string) {
+	if !q.learnedLines.Allow() {
+		return
+	}
+	events.EndLearned.Log(q.log, logrus.Fields{
+		"fingerprint": poison.FormatFingerprint(r.Fingerprint), "endpoint": r.Endpoint, "reporter": r.Reporter,
+		"from": from, "age_ms": time.Since(r.at()).Milliseconds(),
+	})
+}
+
 // limitTime replaces a time in the future by now. A suspicion would last, and a caller would wait
 // for further reports, until that time has passed.
 func (q *Quarantine) limitTime(now time.Time, key string, r *Report) {
@@ -206,11 +225,16 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	oldest := time.Duration(0)
 	for _, put := range puts {
 		if r := q.byKey(put.Key); r != nil {
 			r.state = max(r.state, stored)
+			oldest = max(oldest, time.Since(r.at()))
 		}
 	}
+	if oldest > lateReport {
+		events.CrashReported.Log(q.log, logrus.Fields{"reports": len(puts), "oldest_ms": oldest.Milliseconds()})
+	}
 	for _, key := range removals {
 		if r := q.byKey(key); r != nil {
 			r.state = removed
--- a/internal/events/fleet.go
+++ b/internal/events/fleet.go
@@ -17,6 +17,8 @@
 	QuarantineEnded    = define(2009, logrus.InfoLevel, "request is no longer quarantined")
 	// CrashNotReported is repeated until the store answers; meanwhile only this process knows of the crash.
 	CrashNotReported = define(2010, logrus.WarnLevel, "report of a crash could not be written")
+	// CrashReported is logged only for reports that were written late.
+	CrashReported = define(2011, logrus.InfoLevel, "reports of crashes written after a delay")
 )
 
 // Events of batch jobs: 2100 to 2199.
@@ -114,4 +116,6 @@
 var (
 	SuspectHeldBack     = define(2540, logrus.WarnLevel, "request under which an endpoint ended is held back")
 	QuarantineContested = define(2541, logrus.InfoLevel, "request is no longer quarantined; others ran at the same ends of endpoints")
+	EndLearned          = define(2542, logrus.InfoLevel, "another process reported that an endpoint ended under a request")
+	EndNotCounted       = define(2543, logrus.InfoLevel, "endpoint ended under a request that was answered shortly before; the end does not count")
 )
