--- a/internal/agentless/node/node.go
+++ b/internal/agentless/node/node.go
@@ -204,9 +204,12 @@
 		n.owner.Standby.Peers = n.frontend
 	}
 	n.owner.OwnershipCertain = n.registrar.CertainlyRegistered
-	n.store.Recovered = n.owner.StoreRecovered
+	n.store.Recovered = func() {
+		n.owner.StoreRecovered()
+		n.quarantine.StoreAnswers()
+	}
 	n.store.HasWaiters = func() bool {
-		return n.role() != fanout.Leaf || len(n.owner.Jobs()) > 0 || n.owner.Standby.HasOrphanedJobs()
+		return n.role() != fanout.Leaf || len(n.owner.Jobs()) > 0 || n.owner.Standby.HasOrphanedJobs() || n.quarantine.HasUnwritten()
 	}
 	n.owner.Ineligible = n.ineligibleForJobs
 	n.owner.OnAdopt = func(spec *batch.Spec) {
--- a/internal/agentless/node/topics.go
+++ b/internal/agentless/node/topics.go
@@ -78,6 +78,7 @@
 	if n.outage.down.CompareAndSwap(true, false) {
 		events.StoreBack.Log(n.log, logrus.Fields{})
 	}
+	n.quarantine.StoreAnswers()
 	if n.leader != nil {
 		n.leader.TryNow()
 	}
@@ -245,6 +246,7 @@
 func (n *Node) relayAnswered() {
 	n.contact.record()
 	n.store.PeersServed()
+	n.quarantine.StoreAnswers()
 }
 
 // topicSynced records that this root received the changes of a topic from the store.
--- a/internal/agentless/quarantine/export_test.go
+++ b/internal/agentless/quarantine/export_test.go
@@ -1,5 +1,10 @@
 package quarantine
 
+import "time"
+
+// SetRetryDelay sets the delay after a failed write; it must be called before Run.
+func (q *Quarantine) SetRetryDelay(d time.Duration) { q.minRetryDelay, q.maxRetryDelay = d, d }
+
 // NewWriteLimiter returns the limit of the writes of one process.
 var NewWriteLimiter = newWriteLimiter
 
--- a/internal/agentless/quarantine/quarantine.go
+++ b/internal/agentless/quarantine/quarantine.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -50,6 +51,12 @@
 
 	learnedLines *rate.Limiter // of log lines about reports of other processes
 
+	// minRetryDelay and maxRetryDelay bound the delay after a failed write.
+	minRetryDelay, maxRetryDelay time.Duration
+
+	writeFailed  atomic.Bool   // the last write failed
+	storeAnswers chan struct{} // interrupts the delay after a failed write
+
 	mu       sync.Mutex
 	registry *poison.Registry
 	reports  map[uint64]reportSet // by fingerprint
@@ -90,6 +97,9 @@
 
 		learnedLines: rate.NewLimiter(rate.Every(learnedLineInterval), learnedLineBurst),
 
+		minRetryDelay: writeInterval, maxRetryDelay: maxRetryDelay,
+		storeAnswers: make(chan struct{}, 1),
+
 		registry: poison.New(poison.SharedConfig(), self),
 		reports:  map[uint64]reportSet{},
 		copies:   poison.Copies{},
--- a/internal/agentless/quarantine/quarantine_test.go
+++ b/internal/agentless/quarantine/quarantine_test.go
@@ -57,12 +57,15 @@
 	stop context.CancelFunc
 }
 
-func startProcess(store kv.TransactionalStore, name string, prober quarantine.Prober) *process {
+func startProcess(store kv.TransactionalStore, name string, prober quarantine.Prober, configure ...func(*quarantine.Quarantine)) *process {
 	log := &lockedBuffer{}
 	logger := logrus.New()
 	logger.SetOutput(log)
 	logger.SetFormatter(&logrus.JSONFormatter{})
 	p := &process{Quarantine: quarantine.New(name, store, prober, logger, metrics.NewRegistry()), log: log}
+	for _, set := range configure {
+		set(p.Quarantine)
+	}
 	var ctx context.Context
 	ctx, p.stop = context.WithCancel(context.Background())
 	DeferCleanup(p.stop)
@@ -201,6 +204,18 @@
 		Eventually(reports, "5s").Should(Equal(3))
 	})
 
+	// Guards against reports that wait for seconds after an outage of the store, in which each other
+	// process sends the request to further endpoints.
+	It("writes its reports as soon as the store answers again, however long the delay after a failed write is", func() {
+		store.SetDown(true)
+		p := startProcess(store, "p1", ended, func(q *quarantine.Quarantine) { q.SetRetryDelay(time.Hour) })
+		p.ConnectionLost(request(poisonous), endpoint("a"))
+		Eventually(p.HasUnwritten, "30s").Should(BeTrue())
+		store.SetDown(false)
+		Eventually(func() int { p.StoreAnswers(); return reports() }, "30s").Should(Equal(1))
+		Eventually(p.HasUnwritten, "30s").Should(BeFalse())
+	})
+
 	// Guards against a third endpoint that ends because the report of the second one waited for
 	// writeInterval: another entry knew of the first one only and sent a copy to the last endpoint.
 	It("writes the reports of ends that follow each other within milliseconds at once", func() {
--- a/internal/agentless/quarantine/reports.go
+++ b/internal/agentless/quarantine/reports.go
@@ -183,7 +183,7 @@
 // Run writes this process's reports and removals to the store until ctx ends.
 func (q *Quarantine) Run(ctx context.Context) error {
 	limiter := newWriteLimiter()
-	delay := writeInterval
+	delay := q.minRetryDelay
 	for {
 		select {
 		case <-ctx.Done():
@@ -197,19 +197,42 @@
 		if more {
 			q.notify()
 		}
+		q.writeFailed.Store(err != nil)
 		if err == nil {
-			delay = writeInterval
+			delay = q.minRetryDelay
 			continue
 		}
-		delay = min(2*delay, maxRetryDelay)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-time.After(delay/2 + rand.N(delay/2)):
-		}
+		delay = min(2*delay, q.maxRetryDelay)
+		q.awaitRetry(ctx, delay/2+rand.N(delay/2))
+	}
+}
+
+// awaitRetry pauses after a failed write, until the store answers again or the delay has passed.
+func (q *Quarantine) awaitRetry(ctx context.Context, delay time.Duration) {
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-q.storeAnswers:
+	case <-timer.C:
 	}
 }
 
+// StoreAnswers records that the store answers again. A write that failed is repeated at once: other
+// processes would send a request to further endpoints until they have the reports.
+func (q *Quarantine) StoreAnswers() {
+	if !q.writeFailed.Load() {
+		return
+	}
+	select {
+	case q.storeAnswers <- struct{}{}:
+	default:
+	}
+}
+
+// HasUnwritten reports whether reports wait for the store.
+func (q *Quarantine) HasUnwritten() bool { return q.writeFailed.Load() }
+
 // write makes one call with what is to be written, and reports whether something is left. A call
 // that failed may be repeated: the key of a report is used for nothing else.
 func (q *Quarantine) write(ctx context.Context) (more bool, err error) {
