--- a/internal/agentless/cluster/tree.go
+++ b/internal/agentless/cluster/tree.go
@@ -82,3 +82,27 @@
 	}
 	return membersAt(t.Relays, fanout.Order(fanout.Source{Name: self.Name, Domain: self.Domain}, sources))
 }
+
+// MaxUpstream is the largest number of processes that Upstream returns.
+const MaxUpstream = 2
+
+// Upstream returns the processes that a process exchanges reports with which must not wait for the
+// store, at most two: relays or roots, in two failure domains if possible. That of a root is the
+// other root.
+func (t *Tree) Upstream(self Member) []Member {
+	sources := t.Roots
+	if role := t.RoleOf(self.Name); role != fanout.Root {
+		sources = t.sourcesOf(self, role)
+	}
+	var upstream []Member
+	for _, m := range sources {
+		switch {
+		case m.Name == self.Name:
+		case len(upstream) < MaxUpstream:
+			upstream = append(upstream, m)
+		case upstream[0].Domain == upstream[1].Domain && m.Domain != upstream[0].Domain:
+			upstream[1] = m
+		}
+	}
+	return upstream
+}
--- a/internal/agentless/mechanism/mechanism.go
+++ b/internal/agentless/mechanism/mechanism.go
@@ -78,6 +78,9 @@
 	SpareEndpoints Mechanism = "spare-endpoints"
 	// ShareSlots divides the slots of a service under pressure between processes.
 	ShareSlots Mechanism = "share-slots"
+	// TellEnds passes reports about endpoints that ended under a request from process to process, in
+	// addition to the store.
+	TellEnds Mechanism = "tell-ends"
 )
 
 // All returns every mechanism, sorted.
@@ -85,7 +88,7 @@
 	all := []Mechanism{
 		Hedges, SetAside, OwnPreference, NearFirst, MoveSlow, MoveCrowded, LongestFirst, SpareLast, ByDelay, KeepNarrow, PlaceByTime, ShareLoad,
 		LearnSpeeds, LearnLengths, WholeSteps, TextJournal, TextCopies, CacheResults, ReadNear, AlternateLoads, TellLoads, TakeOver, StandbyRuns, Relay,
-		SpareEndpoints, ShareSlots, Admission,
+		SpareEndpoints, ShareSlots, Admission, TellEnds,
 	}
 	sort.Slice(all, func(i, j int) bool { return all[i] < all[j] })
 	return all
--- a/internal/agentless/node/node.go
+++ b/internal/agentless/node/node.go
@@ -21,6 +21,7 @@
 	"siskinloom.example/siskinloom/internal/agentless/batchrun"
 	"siskinloom.example/siskinloom/internal/agentless/changelog"
 	"siskinloom.example/siskinloom/internal/agentless/cluster"
+	"siskinloom.example/siskinloom/internal/agentless/crashfeed"
 	"siskinloom.example/siskinloom/internal/agentless/directory"
 	"siskinloom.example/siskinloom/internal/agentless/dispatch"
 	"siskinloom.example/siskinloom/internal/agentless/gate"
@@ -138,6 +139,7 @@
 	store      *storepath.Store
 	directory  *directory.Directory
 	quarantine *quarantine.Quarantine
+	crashes    *crashfeed.Feed
 	members    *cluster.Members
 	registrar  *cluster.Registrar
 	owner      *batchrun.Owner
@@ -186,6 +188,8 @@
 	n.adapter = a
 	n.quarantine = quarantine.New(s.ID, a.Store, a.Prober, log, registry)
 	n.quarantine.Directory, n.quarantine.Switches = n.directory, switches
+	n.crashes = crashfeed.New(crashfeed.Config{Self: self, Members: n.members, Peers: peers, Receiver: n.quarantine, Switches: switches, Log: log, Registry: registry})
+	n.quarantine.Feed = n.crashes
 	n.registrar = n.newRegistrar(self)
 	n.owner = &batchrun.Owner{Name: s.ID, Store: a.Store, Directory: n.directory, Sender: a.Sender, Quarantine: n.quarantine, Log: log, ResultTTL: s.ResultTTL, Registry: registry, Switches: switches}
 	if s.DataDir != "" {
@@ -290,6 +294,7 @@
 	group.Go(func() error { return n.registrar.Run(work) })
 	group.Go(func() error { return n.owner.Run(work) })
 	group.Go(func() error { return n.quarantine.Run(work) })
+	group.Go(func() error { return n.crashes.Run(work) })
 	if n.leader != nil {
 		group.Go(func() error { return n.leader.Run(work) })
 		group.Go(func() error { return n.models.Run(work) })
@@ -357,6 +362,9 @@
 		if err := n.shares.Register(server); err != nil {
 			return nil, err
 		}
+		if err := n.crashes.Register(server); err != nil {
+			return nil, err
+		}
 	}
 	group.Go(func() error { return serveCalls(ctx, server, inner) })
 	if n.settings.CallerAddress != "" {
--- a/internal/agentless/quarantine/evidence.go
+++ b/internal/agentless/quarantine/evidence.go
@@ -143,5 +143,6 @@
 	})
 	q.reported.Inc(1)
 	q.add(key, &knownReport{Report: r})
+	q.announce(Entry{Key: key, At: r.UnixMilli, Report: r})
 	q.notify()
 }
--- a/internal/agentless/quarantine/quarantine.go
+++ b/internal/agentless/quarantine/quarantine.go
@@ -38,6 +38,9 @@
 	// Directory lists the endpoints of services; set before first use. If it is nil, the number of
 	// ended endpoints alone decides.
 	Directory *directory.Directory
+	// Feed passes reports on without the store; set before first use. If it is nil, they travel by
+	// the store alone.
+	Feed Feed
 
 	self   string
 	store  kv.TransactionalStore
@@ -81,6 +84,7 @@
 
 const (
 	unsent    reportState = iota // the store may not have it yet
+	learned                      // another process writes it to the store
 	stored                       // the store has it
 	withdrawn                    // it no longer counts and is to be removed from the store
 	removed                      // it was removed; the topic's change follows
@@ -145,9 +149,10 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.registry.RecordAnswer(time.Now(), requestID(fingerprint))
-	for _, r := range q.reports[fingerprint] {
+	for key, r := range q.reports[fingerprint] {
 		if r.state < withdrawn {
 			q.withdraw(r, "answered")
+			q.announce(Entry{Key: key, At: r.UnixMilli, Withdrawn: true})
 			q.notify()
 		}
 	}
--- a/internal/agentless/quarantine/reports.go
+++ b/internal/agentless/quarantine/reports.go
@@ -167,6 +167,9 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if q.Feed != nil {
+		q.Feed.Forget(time.Now(), key)
+	}
 	r := q.reports[fingerprint][key]
 	if r == nil {
 		return
--- a/internal/events/fleet.go
+++ b/internal/events/fleet.go
@@ -118,4 +118,7 @@
 	QuarantineContested = define(2541, logrus.InfoLevel, "request is no longer quarantined; others ran at the same ends of endpoints")
 	EndLearned          = define(2542, logrus.InfoLevel, "another process reported that an endpoint ended under a request")
 	EndNotCounted       = define(2543, logrus.InfoLevel, "endpoint ended under a request that was answered shortly before; the end does not count")
+	CrashReportUnused   = define(2544, logrus.WarnLevel, "report of another process about an ended endpoint is not used")
+	CrashReportNotSent  = define(2545, logrus.WarnLevel, "reports about ended endpoints could not be sent to another process")
+	CrashFeedLost       = define(2546, logrus.InfoLevel, "reports about ended endpoints cannot be followed at another process")
 )
