--- a/internal/agentless/quarantine/evidence.go
+++ b/internal/agentless/quarantine/evidence.go
@@ -94,6 +94,11 @@
 
 // EndpointReplaced records that another instance answers at an endpoint's address.
 func (q *Quarantine) EndpointReplaced(e *deployment.Endpoint) {
+	if q != nil {
+		q.mu.Lock()
+		q.fleet.replaced(time.Now(), e)
+		q.mu.Unlock()
+	}
 	q.endpointsEnded("replaced", func(key incarnation, _ lostRequest) bool { return key == incarnation{e.ID, e.StartedAtMillis} })
 }
 
--- a/internal/agentless/quarantine/export_test.go
+++ b/internal/agentless/quarantine/export_test.go
@@ -1,6 +1,10 @@
 package quarantine
 
-import "time"
+import (
+	"time"
+
+	"siskinloom.example/siskinloom/internal/deployment"
+)
 
 // SetRetryDelay sets the delay after a failed write; it must be called before Run.
 func (q *Quarantine) SetRetryDelay(d time.Duration) { q.minRetryDelay, q.maxRetryDelay = d, d }
@@ -16,3 +20,9 @@
 
 // EncodeReport returns a report as the store has it.
 func EncodeReport(r Report) ([]byte, error) { return r.encode() }
+
+// NewEntry returns the entry of a report.
+func NewEntry(fingerprint uint64, e *deployment.Endpoint, reporter string, unixMilli int64) Entry {
+	r := Report{Fingerprint: fingerprint, Service: e.Service, Endpoint: e.ID, StartedAtMillis: e.StartedAtMillis, Reporter: reporter, UnixMilli: unixMilli}
+	return Entry{Key: r.key(), At: unixMilli, Report: r}
+}
--- a/internal/agentless/quarantine/fleet.go
+++ b/internal/agentless/quarantine/fleet.go
@@ -8,7 +8,9 @@
 
 const (
 	// unhealthyTTL is how long an endpoint that has ended counts as down while it is still listed
-	// with the same start. Its entry lapses before; after an outage of the store entries linger.
+	// with the same start, and another instance was not found at its address. Its entry lapses before,
+	// unless the store is away. From then on it may be down: the evidence may have been wrong, as an
+	// endpoint that is cut off may refuse connections.
 	unhealthyTTL = 10 * time.Second
 	// absenceTTL is how long an endpoint that ended or is no longer listed counts as one that is
 	// expected back. Restarts take 2 to 5 s.
@@ -26,6 +28,7 @@
 	service         string
 	startedAtMillis int64 // 0: only its removal from the list is known
 	at              time.Time
+	replaced        bool // another instance answers at its address
 }
 
 // fleet holds which endpoints have ended and are expected back. It is not safe for concurrent use.
@@ -48,7 +51,16 @@
 	if found && (known.startedAtMillis > e.StartedAtMillis || known.startedAtMillis == e.StartedAtMillis && at.Sub(known.at) < unhealthyTTL) {
 		return
 	}
-	f.add(e.ID, absence{service: e.Service, startedAtMillis: e.StartedAtMillis, at: at})
+	f.add(e.ID, absence{service: e.Service, startedAtMillis: e.StartedAtMillis, at: at, replaced: known.replaced && known.startedAtMillis == e.StartedAtMillis})
+}
+
+// replaced records that another instance answers at the address of an endpoint.
+func (f *fleet) replaced(at time.Time, e *deployment.Endpoint) {
+	f.ended(at, e)
+	if a, found := f.absences[e.ID]; found && a.startedAtMillis == e.StartedAtMillis {
+		a.replaced = true
+		f.absences[e.ID] = a
+	}
 }
 
 // gone records that an endpoint of a service is no longer listed.
@@ -87,7 +99,13 @@
 // isDown reports whether a listed endpoint is known to have ended.
 func (f *fleet) isDown(now time.Time, e *deployment.Endpoint) bool {
 	a, found := f.absences[e.ID]
-	return found && a.startedAtMillis == e.StartedAtMillis && now.Sub(a.at) <= unhealthyTTL
+	return found && a.startedAtMillis == e.StartedAtMillis && (a.replaced || now.Sub(a.at) <= unhealthyTTL)
+}
+
+// mayBeDown reports whether a listed endpoint has ended, however long ago.
+func (f *fleet) mayBeDown(e *deployment.Endpoint) bool {
+	a, found := f.absences[e.ID]
+	return found && a.startedAtMillis == e.StartedAtMillis
 }
 
 // absent returns how many endpoints of a service that are not listed are expected back.
--- a/internal/agentless/quarantine/spare.go
+++ b/internal/agentless/quarantine/spare.go
@@ -249,7 +249,11 @@
 		if e.Leaving || q.fleet.isDown(now, &e.Endpoint) {
 			continue
 		}
-		view.Healthy = append(view.Healthy, e.ID)
+		if q.fleet.mayBeDown(&e.Endpoint) {
+			view.Unsure = append(view.Unsure, e.ID)
+		} else {
+			view.Healthy = append(view.Healthy, e.ID)
+		}
 		if slices.Contains(c.Tried, e.ID) {
 			view.Tried = append(view.Tried, e.ID)
 		}
--- a/internal/agentless/quarantine/spare_test.go
+++ b/internal/agentless/quarantine/spare_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -135,6 +136,34 @@
 		}),
 	)
 
+	// Guards against a suspect that ends the last endpoint ten seconds after the others: in an outage of
+	// the store the list still names them, and other instances listen at their addresses.
+	It("keeps the last endpoint when others ended longer ago and are still listed", func() {
+		longAgo := time.Now().Add(-time.Minute / 2).UnixMilli()
+		var p *process
+		for fingerprint := uint64(100); fingerprint < 110; fingerprint++ {
+			p = start(fmt.Sprint("p", fingerprint))
+			for _, id := range []string{"a", "b"} {
+				Expect(p.Learn("p2", true, quarantine.NewEntry(fingerprint, endpoint(id), "p2", longAgo))).To(Succeed())
+			}
+			a := p.Admit(quarantine.Copy{Fingerprint: fingerprint, Service: "app"})
+			Expect(a.Only).To(HaveLen(1), "request %d", fingerprint)
+			Expect(a.Only).NotTo(ContainElement("c"))
+			a.Ended()
+		}
+		p.EndpointReplaced(endpoint("a"))
+		p.EndpointReplaced(endpoint("b"))
+		a := p.Admit(quarantine.Copy{Fingerprint: 109, Service: "app"})
+		Expect(a.Admitted).To(BeFalse())
+		Expect(a.Quarantined).To(BeFalse())
+		By("one of them is listed with another start")
+		again := *endpoint("b")
+		again.StartedAtMillis = 2
+		d.Put(again)
+		p.EndpointListed(&again)
+		Expect(p.Admit(quarantine.Copy{Fingerprint: 109, Service: "app"}).Admitted).To(BeTrue())
+	})
+
 	It("holds a suspect back by its own reports while the store is down", func() {
 		store.SetDown(true)
 		p := start("p1")
--- a/internal/policy/poison/spare.go
+++ b/internal/policy/poison/spare.go
@@ -35,7 +35,11 @@
 	// Others is the number of endpoints that are listed but have not the weights that the request
 	// needs. The end of its only endpoint does not interrupt a service that has others.
 	Others int
-	// Tried holds the IDs of healthy endpoints that did not run the request when it was sent to
+	// Unsure holds the IDs of endpoints that ended some time ago and are listed as before, as in an
+	// outage of the store. A suspect goes there first: either the endpoint is gone and does not run it,
+	// or its end was reported wrongly.
+	Unsure []string
+	// Tried holds the IDs of healthy or unsure endpoints that did not run the request when it was sent to
 	// them. A suspect goes to another one.
 	Tried []string
 	// Engines says that the endpoints run texts. A text takes seconds, so that an engine that is
@@ -108,11 +112,11 @@
 	switch {
 	case len(copies[id.Fingerprint]) > 0:
 		return Decision{Suspect: true, Reason: "another copy runs", Settled: now.Add(settleTime)}
-	case len(view.Healthy) == 0:
+	case len(view.Healthy)+len(view.Unsure) == 0:
 		return Decision{Suspect: true, Reason: "no endpoint is healthy"}
 	case outweighed:
 		return Decision{Admitted: true}
-	case len(view.Healthy) == 1 && view.Size > 1:
+	case len(view.Unsure) == 0 && len(view.Healthy) == 1 && view.Size > 1:
 		return Decision{Suspect: true, Reason: "one endpoint is healthy", Settled: r.suspects[id].last.Add(settleTime)}
 	}
 	endpoint := isolation(id, &view)
@@ -191,7 +195,11 @@
 func isolation(id ID, s *Service) string {
 	var candidates []string
 	var nodes []uint64
-	for _, endpoint := range s.Healthy {
+	among := s.Healthy
+	if len(s.Unsure) > 0 {
+		among = s.Unsure
+	}
+	for _, endpoint := range among {
 		if !slices.Contains(s.Tried, endpoint) {
 			candidates = append(candidates, endpoint)
 			nodes = append(nodes, rendezvous.Key(endpoint))
--- a/internal/policy/poison/spare_test.go
+++ b/internal/policy/poison/spare_test.go
@@ -101,6 +101,23 @@
 		Expect(r.Decide(now, id(1), tried, nil).Only).NotTo(Equal(first))
 	})
 
+	// Guards against a suspect that ends the last endpoint some seconds after the others, as the list
+	// still names these while the store is away.
+	It("sends a suspect to endpoints that may be down before the last one that is not", func() {
+		end(1, "a")
+		end(1, "b")
+		unsure := func(tried ...string) func() poison.Service {
+			return func() poison.Service {
+				return poison.Service{Healthy: []string{"c"}, Unsure: []string{"a", "b"}, Size: 3, Tried: tried}
+			}
+		}
+		first := r.Decide(now, id(1), unsure(), nil).Only
+		Expect(first).To(HaveLen(1))
+		second := r.Decide(now, id(1), unsure(first...), nil).Only
+		Expect(append(first, second...)).To(ConsistOf("a", "b"))
+		Expect(r.Decide(now, id(1), unsure("a", "b"), nil).Admitted).To(BeFalse())
+	})
+
 	It("quarantines at the second end of a service with one endpoint, and at the third of others", func() {
 		end(1, "a")
 		Expect(r.Decide(now, id(1), service(1, "a"), nil).Admitted).To(BeTrue())
