--- a/internal/lab/quarantine/bounds.go
+++ b/internal/lab/quarantine/bounds.go
@@ -14,7 +14,7 @@
 
 // Bounds returns the measurements of this package.
 func Bounds() []bounds.Measurement {
-	return []bounds.Measurement{{Name: "quarantine", Run: measure}, {Name: "quarantine.spare", Run: measureSpare}}
+	return []bounds.Measurement{{Name: "quarantine", Run: measure}, {Name: "quarantine.spare", Run: measureSpare}, {Name: "quarantine.away", Run: measureAway}}
 }
 
 // total sums up schedules.
@@ -23,6 +23,7 @@
 	maxEnds, maxLateRuns    int
 	ends, innocent, refused int
 	unserved, blocked       int
+	allLost                 int // schedules in which every endpoint ended under the poison request
 	maxDown                 int // endpoints that were down at once because of the poison request
 	tooMany                 int // schedules in which more were down at once than one process would allow
 }
@@ -43,6 +44,9 @@
 		sum.unserved += m.unserved
 		sum.blocked += m.blocked
 		sum.maxDown = max(sum.maxDown, m.mostDown)
+		if len(m.lost) == s.endpoints {
+			sum.allLost++
+		}
 		if m.mostDown > allowedDown(s.endpoints) {
 			sum.tooMany++
 		}
--- a/internal/lab/quarantine/model.go
+++ b/internal/lab/quarantine/model.go
@@ -45,6 +45,8 @@
 	unlimited          bool          // every request is admitted
 	spare              bool          // suspects are kept off the last healthy endpoints
 	scoresPerSecond    float64       // scoring calls, each repeated until it is answered
+	away               bool          // the store is away from awayFrom to awayUntil
+	feed               bool          // reports also pass from process to process
 }
 
 // popularRequests is the number of contents that many callers send.
@@ -92,24 +94,27 @@
 type model struct {
 	scenario
 	t         *timeline.Timeline
+	began     time.Time
 	random    *rand.Rand
 	list      []*endpoint
 	processes []*entry
 
-	innocent       int       // innocent requests of callers
-	refused        int       // tries of theirs that were refused as quarantined, or held back while an endpoint was up; of a scoring call, the first
-	unserved       int       // innocent requests whose last try brought no answer
-	blocked        int       // refusals of innocent requests for the duration of a quarantine
-	down, mostDown int       // endpoints that are down because of the poison request, now and at most
-	poisonEnds     int       // endpoints that ended under the poison request
-	third          time.Time // when the third one did
-	lateRuns       int       // runs of the poison request later than contactTime after that
+	innocent       int          // innocent requests of callers
+	refused        int          // tries of theirs that were refused as quarantined, or held back while an endpoint was up; of a scoring call, the first
+	unserved       int          // innocent requests whose last try brought no answer
+	blocked        int          // refusals of innocent requests for the duration of a quarantine
+	down, mostDown int          // endpoints that are down because of the poison request, now and at most
+	poisonEnds     int          // endpoints that ended under the poison request
+	lost           map[int]bool // of these, which did at least once
+	third          time.Time    // when the third one did
+	lateRuns       int          // runs of the poison request later than contactTime after that
 	nextInnocent   uint64
 	tries          int
 }
 
 func newModel(s scenario, seed uint64) *model {
-	m := &model{scenario: s, t: timeline.New(), random: rand.New(rand.NewPCG(seed, 11)), nextInnocent: 100}
+	m := &model{scenario: s, t: timeline.New(), random: rand.New(rand.NewPCG(seed, 11)), nextInnocent: 100, lost: map[int]bool{}}
+	m.began = m.t.Now()
 	for i := range s.endpoints {
 		e := &endpoint{id: i, run: 1, up: true, attempts: map[*attempt]bool{}}
 		m.list = append(m.list, e)
@@ -184,7 +189,7 @@
 
 // refuse ends a try that the quarantine doesn't admit.
 func (m *model) refuse(t *try, d poison.Decision) {
-	if t.fingerprint != poisonRequest && !t.refused && (d.Quarantined || m.pick(nil) != nil) {
+	if t.fingerprint != poisonRequest && !t.refused && (d.Quarantined || m.pick(t.entry, nil) != nil) {
 		m.refused++
 		t.refused = t.scoring
 	}
@@ -255,14 +260,15 @@
 	if !d.Admitted {
 		return nil, m.mayChange(t, d)
 	}
-	return m.pick(d.Only), false
+	return m.pick(t.entry, d.Only), false
 }
 
-// pick returns an endpoint that is up; only restricts the choice unless it is empty.
-func (m *model) pick(only []string) *endpoint {
+// pick returns an endpoint that is up; only restricts the choice unless it is empty. In an outage of
+// the store an entry does not know endpoints that were started anew.
+func (m *model) pick(p *entry, only []string) *endpoint {
 	var up []*endpoint
 	for _, e := range m.list {
-		if e.up && (len(only) == 0 || slices.Contains(only, e.name())) {
+		if e.up && !(m.away && p.listed[e.id] != e.run) && (len(only) == 0 || slices.Contains(only, e.name())) {
 			up = append(up, e)
 		}
 	}
@@ -287,6 +293,7 @@
 			if m.poisonEnds == 3 {
 				m.third = m.t.Now()
 			}
+			m.lost[at.id] = true
 			m.endEndpoint(at)
 		}
 	})
--- a/internal/lab/quarantine/reports.go
+++ b/internal/lab/quarantine/reports.go
@@ -104,16 +104,16 @@
 	delete(p.reports, reports[0].Fingerprint)
 }
 
-// broadcast has the other entries apply a change after the delay of the news, which is now and
-// then as long as the change of a source of updates takes.
+// broadcast has the other entries apply a change of the store, or of an entry's reports, after the
+// delay of the news.
 func (m *model) broadcast(from *entry, apply func(*entry)) {
 	for _, p := range m.processes {
 		if p == from {
 			continue
 		}
-		delay := m.between(5*time.Millisecond, 40*time.Millisecond)
-		if m.random.IntN(100) == 0 {
-			delay = m.between(200*time.Millisecond, 1500*time.Millisecond)
+		delay := m.storeDelay()
+		if m.feed && from != nil {
+			delay = min(delay, m.feedDelay())
 		}
 		m.t.After(delay, func() { apply(p) })
 	}
