--- a/internal/entry/claims_fakes_test.go
+++ b/internal/entry/claims_fakes_test.go
@@ -254,6 +254,20 @@
 	}
 }
 
+// serving reports whether the entry at address serves all partitions: all its writes from then on are
+// of claims.
+func (c *fakeCluster) serving(address string) bool {
+	for _, p := range c.nodes[address].claims.partitions {
+		p.mu.Lock()
+		serving := p.machine.Serving()
+		p.mu.Unlock()
+		if !serving {
+			return false
+		}
+	}
+	return true
+}
+
 var errNoAnswer = errors.New("the connection does not answer")
 
 func (c *fakeCluster) serve(s *ClaimServer, args, reply any) error {
--- a/internal/entry/claims_test.go
+++ b/internal/entry/claims_test.go
@@ -93,6 +93,7 @@
 	// The owner crashes before it sends the write of the claim. Nothing was
 	// claimed, so the caller's resend runs once at the successor.
 	It("runs a resend once if its owner crashed before the write", func() {
+		Eventually(func() bool { return cluster.serving(a) }, testTimeout).Should(BeTrue())
 		gate := make(chan struct{})
 		cluster.store.set(func() { cluster.store.gate = gate })
 		send(a, "f1", testTimeout)
