--- a/internal/agentless/modelrun/modelrun.go
+++ b/internal/agentless/modelrun/modelrun.go
@@ -202,7 +202,17 @@
 		planner.SetNewestVersion(time.Now(), model, r.newestVersions[model])
 		planner.RecordStep(model, r.newestSteps[model].Version, r.newestSteps[model].Items)
 	}
-	return planner.Next(time.Now(), engines)
+	orders := planner.Next(time.Now(), engines)
+	r.logHeld(planner.TakeHeld())
+	return orders
+}
+
+// logHeld logs and counts the versions that became held.
+func (r *Runner) logHeld(held []modelplan.Held) {
+	for _, h := range held {
+		metrics.GetOrRegisterCounter("weights.versions.held", r.Registry).Inc(1)
+		events.VersionHeld.Log(r.Log, logrus.Fields{"model": h.Model, "version": h.Version, "endpoints": h.Engines})
+	}
 }
 
 // findEndpoint returns the listed endpoint with an ID, or nil.
--- a/internal/events/fleet.go
+++ b/internal/events/fleet.go
@@ -86,6 +86,7 @@
 	VersionAnnounced = define(2302, logrus.InfoLevel, "announced weight version received")
 	OrderAnswered    = define(2303, logrus.InfoLevel, "engine answered a weight order")
 	OrderFailed      = define(2304, logrus.WarnLevel, "weight order to an engine failed")
+	VersionHeld      = define(2305, logrus.WarnLevel, "engines ended while they loaded a weight version; one engine at a time tries it")
 )
 
 // Events of usage reports: 2400 to 2499.
--- a/internal/policy/modelplan/modelplan.go
+++ b/internal/policy/modelplan/modelplan.go
@@ -125,13 +125,22 @@
 	meanItems      map[string]float64   // moving average of the items per step, by model
 	pending        map[string]*pending  // latest orders by engine ID
 	fast           map[string]time.Time // when an engine was last known to be fast, by engine ID
+	trials         map[string]*trial    // of the newest version, by model
+	ordered        map[string]ordered   // loads that the list has not shown as done yet, by engine ID
+	justHeld       []Held               // since the last call of TakeHeld
+}
+
+// ordered is an order with the time at which it was given.
+type ordered struct {
+	order Order
+	at    time.Time
 }
 
 // New returns a planner for the models of a service.
 func New(models []string) *Planner {
 	sorted := append([]string(nil), models...)
 	sort.Strings(sorted)
-	return &Planner{models: sorted, newest: map[string]int64{}, newestAt: map[string]time.Time{}, oldestAccepted: map[string]int64{}, allowedLag: map[string]int64{}, meanItems: map[string]float64{}, pending: map[string]*pending{}, fast: map[string]time.Time{}}
+	return &Planner{models: sorted, newest: map[string]int64{}, newestAt: map[string]time.Time{}, oldestAccepted: map[string]int64{}, allowedLag: map[string]int64{}, meanItems: map[string]float64{}, pending: map[string]*pending{}, fast: map[string]time.Time{}, trials: map[string]*trial{}, ordered: map[string]ordered{}}
 }
 
 // SetNewestVersion records the newest version of a model. It ignores a version that is
@@ -160,6 +169,7 @@
 // Next returns the orders to send now.
 func (p *Planner) Next(now time.Time, engines []Engine) []Order {
 	live := usable(engines)
+	p.recordEnds(now, engines)
 	p.updatePending(now, live)
 	p.expireFast(now)
 	assigned := p.assign(live)
@@ -170,6 +180,8 @@
 			break
 		}
 		p.pending[next.Engine] = &pending{order: next, startedAt: now, retryAt: now.Add(retryDelay), loading: true}
+		p.ordered[next.Engine] = ordered{next, now}
+		p.trialOf(next.Model).retryAt = now.Add(heldInterval)
 		orders = append(orders, next)
 	}
 	return orders
@@ -182,7 +194,7 @@
 	found, lowest := false, 0.0
 	for _, model := range p.models {
 		engine, due := p.nextEngine(now, model, assigned[model])
-		if !due {
+		if !due || !p.mayLoad(now, model) {
 			continue
 		}
 		ready := float64(p.countReady(model, assigned[model])) / float64(len(assigned[model]))
@@ -328,6 +340,9 @@
 	case Accepted, Holds:
 		w.startedAt = now
 	case Conflict, Unknown, Rejected:
+		if result != Unknown {
+			delete(p.ordered, o.Engine) // the engine does not load because of this order
+		}
 		w.loading = false
 		w.retryAt = now.Add(retryDelay)
 	}
