gate: a hedge that waits for a slot is not sent once the answer is in

Endpoints of a service under pressure run requests whose answer is in.

Cause: an attempt returned its slot before its result, so that the queue gave the slot to the waiting hedge of the same request; the choice between the grant and the result was random.

Change: the result precedes the slot, and results go before grants. Without customers nothing changes.

Spec: 30 requests of one customer, one slot, hedges due before the answer: 46 sends before, 30 now.

--- a/internal/agentless/gate/admission_test.go
+++ b/internal/agentless/gate/admission_test.go
@@ -301,6 +301,17 @@
 		Expect(len(s.endpoints()) - before).To(Equal(3))
 	})
 
+	// Guards against hedges that are sent with the slot of the attempt that has just brought the answer.
+	It("are not hedged once their answer is in", func() {
+		service.takes = always(60 * time.Millisecond) // hedges are due after 40 ms
+		g = gate.New(newDirectory(true, 3, 2), service, quietLog(), metrics.NewRegistry())
+		g.Shares = &fixedShares{slots: 1}
+		for i := range 30 {
+			Expect(g.Serve(context.Background(), route(deployment.Idempotent), from("large", fmt.Sprint(i))).End).To(Equal(gate.Answered))
+		}
+		Expect(service.order()).To(HaveLen(30))
+	})
+
 	It("cost no allocation more than without a queue while they need not wait", func() {
 		allocations := func(requireKeys bool) float64 {
 			g = gate.New(newDirectory(requireKeys, 1, 2), &scriptedSender{replies: []reply{answered}}, quietLog(), metrics.NewRegistry())
--- a/internal/agentless/gate/execution.go
+++ b/internal/agentless/gate/execution.go
@@ -98,6 +98,9 @@
 				hedge.Reset(max(minHedgeDelay, time.Duration(nextHedgeObjectiveShare*float64(e.route.Objective))))
 			}
 		case <-e.turn():
+			if len(e.results) > 0 {
+				continue // an answer makes the waiting attempt needless
+			}
 			e.takeTurn(ctx, hedge)
 		case <-ctx.Done():
 			if e.neverRan() {
@@ -221,8 +224,10 @@
 		a := e.attempt(ctx, pick, remaining)
 		verdict.Ended()
 		a.sent = now
-		g.end(time.Now(), a.result())
+		// The result precedes the slot: a hedge that waits for a slot must not be sent with that of
+		// the attempt that brought the answer.
 		e.results <- a
+		g.end(time.Now(), a.result())
 	}()
 	return true
 }
