gate: a hedge or retry that is not sent costs its customer no retry

Callers of a customer see: at a service under pressure, requests that fail are no longer retried, although nothing was sent twice.

Cause: the retry that pays for a hedge is taken from the budget when the hedge asks for a slot, and was not returned when the queue refused it, or the answer came first.

Change: retries that were not sent return to the customer's budget at the end of the request. Without customers nothing changes.

Spec: after 30 requests whose hedges wait and are not sent, a request whose answers are lost is tried three times, as its route allows; fewer before.

--- a/internal/agentless/gate/admission.go
+++ b/internal/agentless/gate/admission.go
@@ -89,7 +89,22 @@
 	}
 	e.queue.mu.Lock()
 	defer e.queue.mu.Unlock()
-	return e.queue.budget.Spend(e.request.Customer)
+	spent := e.queue.budget.Spend(e.request.Customer)
+	if spent {
+		e.unspent++
+	}
+	return spent
+}
+
+// refundRetries returns the retries to the customer's budget whose attempts were not sent.
+func (e *execution) refundRetries() {
+	if e.unspent == 0 {
+		return
+	}
+	e.queue.mu.Lock()
+	defer e.queue.mu.Unlock()
+	e.queue.budget.Grant(e.request.Customer, float64(e.unspent))
+	e.unspent = 0
 }
 
 // requestAttempt makes one more attempt, or has the request wait for a slot of its service. It
--- a/internal/agentless/gate/admission_test.go
+++ b/internal/agentless/gate/admission_test.go
@@ -312,6 +312,21 @@
 		Expect(service.order()).To(HaveLen(30))
 	})
 
+	// Guards against a customer whose failed requests are no longer retried, since hedges that waited
+	// for a slot and were never sent have used up its retries.
+	It("spend no retry for a hedge that is not sent", func() {
+		service.takes = always(60 * time.Millisecond) // hedges are due after 40 ms
+		s := &losing{Sender: service}
+		g = gate.New(newDirectory(true, 3, 2), s, quietLog(), metrics.NewRegistry())
+		g.Shares = &fixedShares{slots: 1}
+		for i := range 30 {
+			Expect(g.Serve(context.Background(), route(deployment.Idempotent), from("large", fmt.Sprint(i))).End).To(Equal(gate.Answered))
+		}
+		Expect(service.order()).To(HaveLen(30))
+		g.Serve(context.Background(), route(deployment.Idempotent), from("large", "lost"))
+		Expect(s.lost.Load()).To(BeEquivalentTo(3), "attempts")
+	})
+
 	It("cost no allocation more than without a queue while they need not wait", func() {
 		allocations := func(requireKeys bool) float64 {
 			g = gate.New(newDirectory(requireKeys, 1, 2), &scriptedSender{replies: []reply{answered}}, quietLog(), metrics.NewRegistry())
--- a/internal/agentless/gate/execution.go
+++ b/internal/agentless/gate/execution.go
@@ -58,6 +58,7 @@
 	full    []string          // endpoints of tried that refused the request as full
 	sent    []string          // endpoints that the request was sent to before it last returned to the queue
 	returns int               // how often it returned
+	unspent int               // retries taken from the customer's budget for attempts that were not sent
 	refused *admission.Action // refusal by the queue, or nil
 }
 
@@ -80,6 +81,7 @@
 func (e *execution) run(ctx context.Context) Outcome {
 	ctx, cancel := context.WithCancel(ctx) // cancels the other attempts once there is an answer
 	defer cancel()
+	defer e.refundRetries()
 	defer e.leaveQueue()
 	if !e.requestAttempt(ctx) {
 		return e.finalOutcome()
@@ -229,6 +231,7 @@
 		e.results <- a
 		g.end(time.Now(), a.result())
 	}()
+	e.unspent = max(0, e.unspent-1)
 	return true
 }
 
--- a/internal/agentless/gate/fakes_test.go
+++ b/internal/agentless/gate/fakes_test.go
@@ -6,9 +6,11 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"siskinloom.example/siskinloom/internal/agentless/directory"
@@ -83,6 +85,21 @@
 	return append([]string(nil), s.sent...)
 }
 
+// losing loses the answers to requests with the ID "lost".
+type losing struct {
+	dispatch.Sender
+	lost atomic.Int64
+}
+
+// Send implements dispatch.Sender.
+func (l *losing) Send(ctx context.Context, e *deployment.Endpoint, r *dispatch.Request) (*dispatch.Answer, error) {
+	if r.ID != "lost" {
+		return l.Sender.Send(ctx, e, r)
+	}
+	l.lost.Add(1)
+	return nil, &upstream.SendError{Sent: true, Err: errors.New("lost")}
+}
+
 func always(d time.Duration) func(string) time.Duration {
 	return func(string) time.Duration { return d }
 }
