--- a/internal/agentless/node/node.go
+++ b/internal/agentless/node/node.go
@@ -186,10 +186,7 @@
 	n.store.Switches = switches
 	a.Store = n.store // all other components call the store through n.store
 	n.adapter = a
-	n.quarantine = quarantine.New(s.ID, a.Store, a.Prober, log, registry)
-	n.quarantine.Directory, n.quarantine.Switches = n.directory, switches
-	n.crashes = crashfeed.New(crashfeed.Config{Self: self, Members: n.members, Peers: peers, Receiver: n.quarantine, Switches: switches, Log: log, Registry: registry})
-	n.quarantine.Feed = n.crashes
+	n.addQuarantine(self, peers, switches)
 	n.registrar = n.newRegistrar(self)
 	n.owner = &batchrun.Owner{Name: s.ID, Store: a.Store, Directory: n.directory, Sender: a.Sender, Quarantine: n.quarantine, Log: log, ResultTTL: s.ResultTTL, Registry: registry, Switches: switches}
 	if s.DataDir != "" {
