Quarantine: forget reports after an hour that the store never had

Found by reading the diff: a report that its reporter did not live to write, or that was withdrawn before it was written, was kept for ever, as only a deletion in the store removed it.

Spec: an hour after its end such a report is gone; before, it stood in the process's status for 30 s of trying.

--- a/internal/agentless/quarantine/learn_test.go
+++ b/internal/agentless/quarantine/learn_test.go
@@ -112,6 +112,22 @@
 		}, "30s").Should(And(HaveLen(2), Not(ContainElement(e.Key))))
 	})
 
+	// Guards against memory that grows with reports that their reporter did not live to write.
+	It("are forgotten after an hour if the store never had them", func() {
+		old := func(id string) quarantine.Entry {
+			return quarantine.NewEntry(poisonous, endpoint(id), "lost", time.Now().Add(-time.Hour+100*time.Millisecond).UnixMilli())
+		}
+		withdrawn := old("b")
+		Expect(other.Learn("lost", true, old("a"))).To(Succeed())
+		Expect(other.Learn("lost", true, withdrawn)).To(Succeed())
+		Expect(other.Learn("lost", true, quarantine.Entry{Key: withdrawn.Key, At: withdrawn.At, Withdrawn: true})).To(Succeed())
+		Expect(other.Status()[0].Endpoints).To(HaveLen(2))
+		time.Sleep(200 * time.Millisecond)
+		store.SetDown(false)
+		other.ConnectionLost(request(poisonous), endpoint("c"))
+		Eventually(func() map[string]string { return other.Status()[0].Endpoints }, "30s").Should(Equal(map[string]string{"c": "p2"}))
+	})
+
 	It("are passed on once for an end, and once more when they no longer count", func() {
 		e := lose("a")
 		reporter.ConnectionLost(request(poisonous), endpoint("a"))
--- a/internal/agentless/quarantine/reports.go
+++ b/internal/agentless/quarantine/reports.go
@@ -283,6 +283,7 @@
 	const half = kv.MaxTransactionEntries / 2
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.forgetUnstored(now)
 	var kept []*knownReport
 	for _, set := range q.reports {
 		for key, r := range set {
@@ -310,6 +311,22 @@
 	return puts, removals, more
 }
 
+// forgetUnstored forgets old reports whose removal from the store won't be heard of, as the store
+// may never have had them. mu must be held.
+func (q *Quarantine) forgetUnstored(now time.Time) {
+	for fingerprint, set := range q.reports {
+		for key, r := range set {
+			if r.state != learned && r.state != removed || now.Sub(r.at()) <= reportTTL {
+				continue
+			}
+			if r.state == learned {
+				q.withdraw(r, "report is too old")
+			}
+			q.remove(fingerprint, key)
+		}
+	}
+}
+
 // appendPut appends the put of a report. mu must be held.
 func (q *Quarantine) appendPut(puts []kv.Put, key string, r *knownReport) []kv.Put {
 	raw, err := r.encode()
