--- a/internal/agentless/crashfeed/crashfeed_test.go
+++ b/internal/agentless/crashfeed/crashfeed_test.go
@@ -220,11 +220,8 @@
 	// are not listed and know no others.
 	It("passes reports through relays, also of a process that is not listed", func() {
 		f = newFleet()
-		var workers []cluster.Member
 		for i := range 40 {
-			m := cluster.Member{Name: fmt.Sprint("w", i), Address: "127.0.0.1:1", Domain: []string{"a", "b"}[i%2], Worker: true}
-			workers = append(workers, m)
-			f.list(m)
+			f.list(cluster.Member{Name: fmt.Sprint("w", i), Address: "127.0.0.1:1", Domain: []string{"a", "b"}[i%2], Worker: true})
 		}
 		tree := f.members.Tree()
 		Expect(tree.HasRelays()).To(BeTrue())
