modelplan: engines that the list loses and names again do not hold a version

Cause: an engine that was missing from one list counted as ended at once.

Change: it counts once it has been missing for 3 s, as expired entries are back within two; meanwhile its load counts as in progress, so that no more engines end before the hold than before (the bound of that spec is unchanged).

Spec: 36 engines, the list is empty for 2 s during their loads: the version was held; now it is not, and all engines load it.

--- a/internal/policy/modelplan/ended.go
+++ b/internal/policy/modelplan/ended.go
@@ -14,6 +14,9 @@
 	// endWindow is how long after an order the end of its engine counts against the version. A load
 	// takes a second, and the list shows an end some heartbeats later.
 	endWindow = 10 * time.Second
+	// missingTimeout is how long an engine must be missing from the list to count as ended. Entries
+	// that expired in an outage of the store are back within two seconds.
+	missingTimeout = 3 * time.Second
 )
 
 // Held is a version that is held, with the engines that ended while they loaded it.
@@ -57,16 +60,35 @@
 		switch {
 		case same && e.Versions[o.order.Model] >= o.order.Version:
 			t.loaded = t.loaded || t.version == o.order.Version
-		case now.Sub(o.at) > endWindow, same && e.Leaving:
+		case t.loaded, t.version != o.order.Version, now.Sub(o.at) > endWindow && o.missingSince.IsZero(), same && e.Leaving:
 		case same:
+			o.missingSince = time.Time{}
 			continue
-		case t.version == o.order.Version:
+		case e == nil && o.missingSince.IsZero():
+			o.missingSince = now
+			continue
+		case e == nil && now.Sub(o.missingSince) < missingTimeout:
+			continue
+		default:
 			p.recordEnd(now, t, &o.order)
 		}
 		delete(p.ordered, id)
 	}
 }
 
+// missing returns how many engines are missing from the list since they got an order for a version
+// that no engine has loaded. Their loads count as in progress: if others began in their place, more
+// engines would end before the first ones count.
+func (p *Planner) missing() int {
+	n := 0
+	for _, o := range p.ordered {
+		if !o.missingSince.IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
 // recordEnd records that an engine ended while it loaded a version.
 func (p *Planner) recordEnd(now time.Time, t *trial, o *Order) {
 	wasHeld := t.held()
--- a/internal/policy/modelplan/ended_test.go
+++ b/internal/policy/modelplan/ended_test.go
@@ -90,6 +90,25 @@
 		Expect(f.ready("m", 2)).To(Equal(len(f.engines)))
 	})
 
+	// Guards against loads that stop for ten seconds after an outage of the store in which the entries of
+	// engines expired, although all of them are up.
+	It("is not held when the list loses many engines at once and names them again", func() {
+		f := newFleet(36, "m")
+		p := modelplan.New([]string{"m"})
+		p.SetNewestVersion(f.now, "m", 2)
+		p.RecordStep("m", 2, 400)
+		Expect(len(p.Next(f.now, f.engines))).To(BeNumerically(">=", 3))
+		for range 10 {
+			f.now = f.now.Add(200 * time.Millisecond)
+			p.Next(f.now, nil)
+		}
+		f.now = f.now.Add(200 * time.Millisecond)
+		p.Next(f.now, f.engines)
+		Expect(p.TakeHeld()).To(BeEmpty())
+		f.run(p, 10*time.Second)
+		Expect(f.ready("m", 2)).To(Equal(36))
+	})
+
 	// Guards against loads that stop because engines end for another reason.
 	It("is not held when others load it, nor when engines leave", func() {
 		f := newFleet(12, "m")
--- a/internal/policy/modelplan/modelplan.go
+++ b/internal/policy/modelplan/modelplan.go
@@ -126,21 +126,22 @@
 	pending        map[string]*pending  // latest orders by engine ID
 	fast           map[string]time.Time // when an engine was last known to be fast, by engine ID
 	trials         map[string]*trial    // of the newest version, by model
-	ordered        map[string]ordered   // loads that the list has not shown as done yet, by engine ID
+	ordered        map[string]*ordered  // loads that the list has not shown as done yet, by engine ID
 	justHeld       []Held               // since the last call of TakeHeld
 }
 
 // ordered is an order with the time at which it was given.
 type ordered struct {
-	order Order
-	at    time.Time
+	order        Order
+	at           time.Time
+	missingSince time.Time // when its engine was first missing from the list; zero: it is listed
 }
 
 // New returns a planner for the models of a service.
 func New(models []string) *Planner {
 	sorted := append([]string(nil), models...)
 	sort.Strings(sorted)
-	return &Planner{models: sorted, newest: map[string]int64{}, newestAt: map[string]time.Time{}, oldestAccepted: map[string]int64{}, allowedLag: map[string]int64{}, meanItems: map[string]float64{}, pending: map[string]*pending{}, fast: map[string]time.Time{}, trials: map[string]*trial{}, ordered: map[string]ordered{}}
+	return &Planner{models: sorted, newest: map[string]int64{}, newestAt: map[string]time.Time{}, oldestAccepted: map[string]int64{}, allowedLag: map[string]int64{}, meanItems: map[string]float64{}, pending: map[string]*pending{}, fast: map[string]time.Time{}, trials: map[string]*trial{}, ordered: map[string]*ordered{}}
 }
 
 // SetNewestVersion records the newest version of a model. It ignores a version that is
@@ -180,7 +181,7 @@
 			break
 		}
 		p.pending[next.Engine] = &pending{order: next, startedAt: now, retryAt: now.Add(retryDelay), loading: true}
-		p.ordered[next.Engine] = ordered{next, now}
+		p.ordered[next.Engine] = &ordered{order: next, at: now}
 		p.trialOf(next.Model).retryAt = now.Add(heldInterval)
 		orders = append(orders, next)
 	}
@@ -253,7 +254,7 @@
 
 // freeLoads returns how many more loads may start now.
 func (p *Planner) freeLoads(engines int) int {
-	limit := max(1, int(math.Round(maxLoadingShare*float64(engines))))
+	limit := max(1, int(math.Round(maxLoadingShare*float64(engines)))) - p.missing()
 	for _, w := range p.pending {
 		if w.loading {
 			limit--
