--- a/internal/lab/quarantine/away.go
+++ b/internal/lab/quarantine/away.go
@@ -67,8 +67,36 @@
 				bounds.Figure{Name: "quarantine.away.ends" + one.suffix, Value: float64(one.sum.maxEnds)},
 				bounds.Figure{Name: "quarantine.away.ends_mean" + one.suffix, Value: float64(one.sum.ends) / schedules},
 				bounds.Figure{Name: "quarantine.away.all_lost" + one.suffix, Value: float64(one.sum.allLost) / schedules},
-				bounds.Figure{Name: "quarantine.away.unserved" + one.suffix, Value: float64(one.sum.unserved) / float64(one.sum.innocent)})
+				bounds.Figure{Name: "quarantine.away.unserved" + one.suffix, Value: float64(one.sum.unserved) / float64(one.sum.innocent)},
+				bounds.Figure{Name: "quarantine.away.innocent_refused" + one.suffix, Value: one.sum.refusedShare()},
+				bounds.Figure{Name: "quarantine.away.innocent_quarantined" + one.suffix, Value: float64(one.sum.blocked)})
 		}
+		figures = append(figures, strayFigures(suffix, s)...)
 	}
 	return figures, nil
 }
+
+// strayFigures returns how many innocent requests are refused, with and without reports from process
+// to process, while endpoints end for other reasons: with the store there (.stray) as on a day with ten
+// times the ends of a rough one, and in an outage (.away.stray) as half of them end at once.
+func strayFigures(suffix string, s scenario) []bounds.Figure {
+	s.poison = false
+	var figures []bounds.Figure
+	for _, feed := range []bool{true, false} {
+		s.feed = feed
+		outage, present := s, s
+		outage.massEndAt = awayUntil / 2
+		present.away, present.duration, present.meanLife, present.massEndAt = false, time.Minute, strayLife, time.Minute/2
+		end := suffix
+		if !feed {
+			end += ".off"
+		}
+		away, there := play(outage), play(present)
+		figures = append(figures,
+			bounds.Figure{Name: "quarantine.feed.stray.innocent_refused" + end, Value: there.refusedShare()},
+			bounds.Figure{Name: "quarantine.feed.stray.innocent_quarantined" + end, Value: float64(there.blocked)},
+			bounds.Figure{Name: "quarantine.away.stray.innocent_refused" + end, Value: away.refusedShare()},
+			bounds.Figure{Name: "quarantine.away.stray.innocent_quarantined" + end, Value: float64(away.blocked)})
+	}
+	return figures
+}
