--- a/internal/agentless/crashfeed/crashfeed.go
+++ b/internal/agentless/crashfeed/crashfeed.go
@@ -159,6 +159,19 @@
 	return entries, next, f.changed
 }
 
+// isListed reports whether a process is registered. A process that was started during an outage of
+// the store knows no others, and cannot tell; it must not hold up the reports of those it serves.
+func (f *Feed) isListed(name string) bool {
+	if _, listed := f.Members.Get(name); listed {
+		return true
+	}
+	others := f.Members.Count()
+	if _, listed := f.Members.Get(f.Self.Name); listed {
+		others--
+	}
+	return others == 0
+}
+
 // isOn reports whether the mechanism is in force.
 func (f *Feed) isOn() bool { return f.Switches.On(mechanism.TellEnds) }
 
--- a/internal/agentless/crashfeed/crashfeed_test.go
+++ b/internal/agentless/crashfeed/crashfeed_test.go
@@ -243,6 +243,26 @@
 		}
 	})
 
+	// Guards against reports that end at processes which were started during an outage of the store.
+	It("takes senders for listed only while it knows no other process", func() {
+		f = newFleet()
+		started := newFleet() // what the root knows
+		root := started.start("w1", "a", true, "")
+		f.list(root.self)
+		started.list(root.self)
+		sender, follower := f.start("e1", "a", false, ""), f.start("e2", "b", false, "")
+		isListed := func(key string) bool {
+			sender.Announce(entry(key))
+			Eventually(follower.receiver.state(key), timeout).Should(Equal("reported"))
+			root.receiver.mu.Lock()
+			defer root.receiver.mu.Unlock()
+			return root.receiver.listed[key]
+		}
+		Expect(isListed("before the first list")).To(BeTrue())
+		started.list(cluster.Member{Name: "w2", Address: "127.0.0.1:1", Worker: true})
+		Expect(isListed("after")).To(BeFalse())
+	})
+
 	It("passes on nothing that its quarantine does not use, and logs it", func() {
 		small()
 		for _, p := range roots {
--- a/internal/agentless/crashfeed/service.go
+++ b/internal/agentless/crashfeed/service.go
@@ -86,7 +86,7 @@
 	if len(args.Entries) > maxMessage {
 		return errTooManyEntries
 	}
-	_, listed := s.feed.Members.Get(args.From)
+	listed := s.feed.isListed(args.From)
 	for _, e := range args.Entries {
 		if s.feed.learn(args.From, listed, true, e) != nil {
 			reply.Unused++
