batchrun: a moved run counts at its engine for the quarantine

Cause: a run's admission was told of its first engine only; a text that is moved by time goes on under the same admission. Operators saw a suspect run at an engine that it had left, and another suspect of the same end could be sent to the one that it runs at.

Ruled out: a second admission for each move; the text would lose its place while it waits for one.

Change: the run tells its admission of each engine.

--- a/internal/agentless/batchrun/moves_test.go
+++ b/internal/agentless/batchrun/moves_test.go
@@ -1,7 +1,9 @@
 package batchrun_test
 
 import (
+	"bytes"
 	"context"
+	"encoding/gob"
 	"fmt"
 	"io"
 	"net/http"
@@ -16,9 +18,12 @@
 	"siskinloom.example/siskinloom/internal/agentless/batchrun"
 	"siskinloom.example/siskinloom/internal/agentless/dispatch"
 	"siskinloom.example/siskinloom/internal/agentless/mechanism"
+	"siskinloom.example/siskinloom/internal/agentless/quarantine"
 	"siskinloom.example/siskinloom/internal/deployment"
+	"siskinloom.example/siskinloom/internal/kv"
 	"siskinloom.example/siskinloom/internal/policy/batch"
 	"siskinloom.example/siskinloom/internal/policy/endpoints"
+	"siskinloom.example/siskinloom/internal/policy/poison"
 	"siskinloom.example/siskinloom/internal/standin"
 )
 
@@ -200,6 +205,32 @@
 		Expect(movedByTime()).To(BeZero())
 	})
 
+	// Guards against decisions, and an operator's table, by the engine that a text has left.
+	It("counts for the quarantine at the engine that it was moved to", func() {
+		start()
+		q := quarantine.New("a", standin.NewTransactionalStore(), &besideEngines{}, discardLogger(), metrics.NewRegistry())
+		p.owner.Quarantine, q.Directory = q, p.owner.Directory
+		release, upgrading := make(chan struct{}), llm.onEvent
+		llm.onEvent = func(id int64) {
+			upgrading(id)
+			if id == pacedLength-1 {
+				<-release
+			}
+		}
+		begin()
+		runs := func() []string { all, _ := llm.runsSoFar(); return all }
+		Eventually(runs).WithTimeout(eventuallyTimeout).Should(HaveLen(2))
+		fingerprint := poison.Fingerprint([]byte("b"), http.MethodPost, "h", "/items/x")
+		var report bytes.Buffer
+		Expect(gob.NewEncoder(&report).Encode(quarantine.Report{Fingerprint: fingerprint, Service: "llm", Endpoint: "gone", Reporter: "b", UnixMilli: time.Now().UnixMilli()})).To(Succeed())
+		q.Changed(kv.Record{Key: "live/crashes/" + poison.FormatFingerprint(fingerprint) + "/1", Value: report.Bytes(), Revision: 1})
+		running := func() []string { return q.Status()[0].Running }
+		Eventually(running).WithTimeout(eventuallyTimeout).Should(ConsistOf(runs()[1]))
+		close(release)
+		Eventually(results(p, "j")).WithTimeout(eventuallyTimeout).Should(Equal(1))
+		Eventually(running).WithTimeout(eventuallyTimeout).Should(BeEmpty())
+	})
+
 	It("holds no slot if its job is ended during the move", func() {
 		start()
 		begin()
--- a/internal/agentless/batchrun/runs.go
+++ b/internal/agentless/batchrun/runs.go
@@ -39,10 +39,13 @@
 	defaultRunTimeout = time.Minute
 )
 
-// run lets one engine continue an item's text.
-func (o *Owner) run(j *ownedJob, start batch.RunStart, pick *directory.Pick) {
+// run lets an engine continue an item's text, and further ones to which the text is moved by time.
+// The admission holds for all of them and ends with the last one.
+func (o *Owner) run(j *ownedJob, start batch.RunStart, pick *directory.Pick, admission *quarantine.Admission) {
+	defer admission.Ended()
 	r := &itemRun{owner: o, job: j, start: start, pick: pick, began: time.Now()}
 	for r != nil {
+		admission.Started(r.pick.ID)
 		r = o.runAt(r)
 	}
 }
--- a/internal/agentless/batchrun/scheduling.go
+++ b/internal/agentless/batchrun/scheduling.go
@@ -155,8 +155,8 @@
 	j.mu.Lock()
 	j.job.RunPlaced(r.now, c.Index)
 	j.mu.Unlock()
-	admission.Started(pick.ID)
-	r.owner.runs.Go(func() error { defer admission.Ended(); r.owner.run(j.ownedJob, start, pick); return nil })
+	admission.Started(pick.ID) // before other items are decided on
+	r.owner.runs.Go(func() error { r.owner.run(j.ownedJob, start, pick, admission); return nil })
 }
 
 // placement returns the data by which the run is placed among other requests.
