gate: a request that endpoints refuse as full writes no line per return

Cause: each refused attempt wrote 2004, and a request to a full service is sent again every 5 to 50 ms until its time is over: up to hundreds of lines per request, when the service has least room.

Ruled out: a limit by time (rate.Limiter, as for other lines): the lines of other faults would compete with these.

Change: refusals as full are logged before the first return only; the line of the outcome counts the others (`returns`, as before). Spec with ten refusals: 10 lines before, 1 now.

--- a/internal/agentless/gate/admission_test.go
+++ b/internal/agentless/gate/admission_test.go
@@ -1,8 +1,10 @@
 package gate_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -10,7 +12,9 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
 	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
 
 	"siskinloom.example/siskinloom/internal/agentless/directory"
 	"siskinloom.example/siskinloom/internal/agentless/dispatch"
@@ -205,6 +209,19 @@
 		Expect(g.QueueStatus()[0].Learned).To(Equal(8))
 	})
 
+	// Guards against logs that grow with the time for which a service stays full.
+	It("write one line for all refusals after the first one", func() {
+		output := gbytes.NewBuffer()
+		log := logrus.New()
+		log.SetOutput(output)
+		d.Put(deployment.Endpoint{ID: "a", Service: "app", Address: "x:1", Slots: 8})
+		replies := slices.Repeat([]reply{refusing}, 10)
+		g = gate.New(d, &scriptedSender{replies: append(replies, answered)}, log, metrics.NewRegistry())
+		Expect(g.Serve(context.Background(), route(deployment.NonIdempotent), from("small", "q")).End).To(Equal(gate.Answered))
+		Expect(bytes.Count(output.Contents(), []byte("event=2004"))).To(Equal(1))
+		Expect(output).To(gbytes.Say(`event=2000 .*returns=10`))
+	})
+
 	It("are refused as not run if all endpoints stay full until the timeout", func() {
 		fullFor(300 * time.Millisecond)
 		r := from("small", "late")
--- a/internal/agentless/gate/execution.go
+++ b/internal/agentless/gate/execution.go
@@ -273,7 +273,7 @@
 	a, endpointOutcome := e.gate.exchange(ctx, pick, e.request, remaining)
 	pick.End(time.Now(), endpointOutcome, time.Since(start), 1)
 	if !a.complete && endpointOutcome != endpoints.Cancelled {
-		e.logFailure(pick, a.err, a.notRun)
+		e.logFailure(pick, a)
 	}
 	e.reportLoss(pick, a, endpointOutcome)
 	return a
@@ -296,14 +296,19 @@
 }
 
 // logFailure logs an attempt without an answer. The fingerprint tells whether requests that end
-// with their endpoints have the same content.
-func (e *execution) logFailure(pick *directory.Pick, err error, notRun bool) {
+// with their endpoints have the same content. Endpoints that are full refuse a request every few
+// milliseconds until it is served; after its first return to the queue, only the line of its
+// outcome counts them.
+func (e *execution) logFailure(pick *directory.Pick, a attempt) {
+	if a.full != "" && e.returns > 0 {
+		return
+	}
 	text := "refused"
-	if err != nil {
-		text = err.Error()
+	if a.err != nil {
+		text = a.err.Error()
 	}
-	fields := logrus.Fields{"request": e.request.ID, "endpoint": pick.ID, "address": pick.Address, "not_run": notRun, "error": text}
-	if !notRun {
+	fields := logrus.Fields{"request": e.request.ID, "endpoint": pick.ID, "address": pick.Address, "not_run": a.notRun, "error": text}
+	if !a.notRun {
 		fields["fingerprint"] = poison.FormatFingerprint(e.fingerprint)
 	}
 	events.AttemptFailed.Log(e.gate.log, fields)
--- a/internal/agentless/gate/stream.go
+++ b/internal/agentless/gate/stream.go
@@ -160,7 +160,7 @@
 	if !s.route.Resumable || s.lastEvent == resumedAfter {
 		s.reportLoss(pick, a, endpointOutcome)
 	}
-	s.logFailure(pick, a.err, a.notRun)
+	s.logFailure(pick, a)
 	if a.full != "" {
 		s.noteFull(a.full)
 	}
