inifile: each error has its line, and a required address may not be empty

Change: the index takes names as the parser does; the parser's errors get the line that they quote; a required address is one that is not empty. The line of a key's second value no longer assumes that the index has two.

--- a/internal/inifile/inifile.go
+++ b/internal/inifile/inifile.go
@@ -42,7 +42,7 @@
 		SkipUnrecognizableLines:    true, // indexLines has reported them
 	}, text)
 	if err != nil {
-		findings.Add(Position{File: name}, "%v", err)
+		findings.Add(Position{File: name, Line: lineOf(err, string(text))}, "%s", strings.TrimSpace(err.Error()))
 		return f
 	}
 	counts := map[string]int{}
--- a/internal/inifile/inifile_test.go
+++ b/internal/inifile/inifile_test.go
@@ -51,6 +51,18 @@
 a.ini:9: section [x] stands already on line 2`))
 	})
 
+	// Guards against errors of the parser without a place.
+	It("reports a line at which the parser gives up", func() {
+		for text, want := range map[string]string{
+			"[x]\na = 1\n[y\nb = 2\n": "a.ini:3: unclosed section: [y",
+			"[x]\na = 1\n\"b = 2\n":   `a.ini:3: missing closing key quote: "b = 2`,
+		} {
+			var findings inifile.Findings
+			inifile.Parse("a.ini", []byte(text), &findings)
+			Expect(findings.Err()).To(MatchError(ContainSubstring(want)))
+		}
+	})
+
 	It("reports a file that cannot be read", func() {
 		var findings inifile.Findings
 		inifile.Read("absent.ini", &findings)
--- a/internal/inifile/lines.go
+++ b/internal/inifile/lines.go
@@ -20,6 +20,14 @@
 	return s.header
 }
 
+// secondLine returns the second line of a key that is given more than once.
+func (s sectionLines) secondLine(key string) int {
+	if lines := s.keys[key]; len(lines) > 1 {
+		return lines[1]
+	}
+	return s.line(key)
+}
+
 // lineIndex maps headers to the sections with that header, in the order of the
 // file. Keys before the first section are under the empty header.
 type lineIndex map[string][]sectionLines
@@ -54,11 +62,15 @@
 		switch {
 		case line == "" || line[0] == ';' || line[0] == '#':
 		case line[0] == '[':
-			name, _, closed := strings.Cut(line[1:], "]")
-			if !closed {
+			end := strings.LastIndexByte(line, ']') // as the parser reads it
+			switch end {
+			case -1:
 				findings.Add(position, "section without closing bracket")
+				end = len(line)
+			case 1:
+				findings.Add(position, "section without a name")
 			}
-			current = index.add(strings.TrimSpace(name), position.Line)
+			current = index.add(line[1:end], position.Line)
 		case isKey:
 			key = strings.TrimSpace(key)
 			current.keys[key] = append(current.keys[key], position.Line)
@@ -70,3 +82,14 @@
 	}
 	return index
 }
+
+// lineOf returns the number of the line that an error of the parser ends with, or 1 if it names none.
+func lineOf(err error, text string) int {
+	message := strings.TrimSpace(err.Error())
+	for i, line := range strings.Split(text, "\n") {
+		if line = strings.TrimSpace(line); line != "" && strings.HasSuffix(message, line) {
+			return i + 1
+		}
+	}
+	return 1
+}
--- a/internal/inifile/section.go
+++ b/internal/inifile/section.go
@@ -55,7 +55,7 @@
 func (s *Section) raw(key string) (string, bool) {
 	values := s.Repeated(key)
 	if len(values) > 1 {
-		s.findings.Add(Position{File: s.file, Line: s.lines.keys[key][1]}, "[%s] %s: duplicate key", s.header, key)
+		s.findings.Add(Position{File: s.file, Line: s.lines.secondLine(key)}, "[%s] %s: duplicate key", s.header, key)
 	}
 	if len(values) == 0 {
 		return "", false
@@ -183,9 +183,13 @@
 
 // Addr returns an address of the form "ip:port" with a literal IP address, or an
 // empty string if the key is absent.
-func (s *Section) Addr(key string) string {
-	value, found := s.raw(key)
-	if !found || value == "" {
+func (s *Section) Addr(key string) string { return s.addr(key, s.String(key, "")) }
+
+// RequiredAddr returns an address like Addr and reports an absent or empty one.
+func (s *Section) RequiredAddr(key string) string { return s.addr(key, s.Required(key)) }
+
+func (s *Section) addr(key, value string) string {
+	if value == "" {
 		return ""
 	}
 	if _, err := netip.ParseAddrPort(value); err != nil {
@@ -194,12 +198,3 @@
 	}
 	return value
 }
-
-// RequiredAddr returns an address like Addr and reports an absent key.
-func (s *Section) RequiredAddr(key string) string {
-	if !s.section.HasKey(key) {
-		s.read[key] = true
-		s.AddFinding(key, "required")
-	}
-	return s.Addr(key)
-}
