--- a/internal/inifile/inifile_test.go
+++ b/internal/inifile/inifile_test.go
@@ -55,6 +55,7 @@
 	It("reports a line at which the parser gives up", func() {
 		for text, want := range map[string]string{
 			"[x]\na = 1\n[y\nb = 2\n": "a.ini:3: unclosed section: [y",
+			"[x]\ny\n[y\n":            "a.ini:3: unclosed section: [y",
 			"[x]\na = 1\n\"b = 2\n":   `a.ini:3: missing closing key quote: "b = 2`,
 		} {
 			var findings inifile.Findings
--- a/internal/inifile/lines.go
+++ b/internal/inifile/lines.go
@@ -86,10 +86,11 @@
 // lineOf returns the number of the line that an error of the parser ends with, or 1 if it names none.
 func lineOf(err error, text string) int {
 	message := strings.TrimSpace(err.Error())
+	found, longest := 1, 0
 	for i, line := range strings.Split(text, "\n") {
-		if line = strings.TrimSpace(line); line != "" && strings.HasSuffix(message, line) {
-			return i + 1
+		if line = strings.TrimSpace(line); len(line) > longest && strings.HasSuffix(message, line) {
+			found, longest = i+1, len(line)
 		}
 	}
-	return 1
+	return found
 }
