--- a/internal/agentless/crashfeed/crashfeed.go
+++ b/internal/agentless/crashfeed/crashfeed.go
@@ -31,10 +31,11 @@
 	maxEntries = 512
 	// maxMessage is the number of reports in a message, some 250 bytes each.
 	maxMessage = 32
-	// messageInterval and messageBurst limit the messages with reports that a process takes from one
-	// other, 10 kB per second after the first ones, when hundreds of endpoints end at once.
-	messageInterval = time.Second
-	messageBurst    = 4
+	// reportsPerSecond and reportBurst limit the reports that a process takes from one other, 10 kB
+	// per second after the first ones, when hundreds of endpoints end at once. Messages don't count:
+	// news of a few ends comes in as many of them, and must not wait.
+	reportsPerSecond = 32
+	reportBurst      = 4 * maxMessage
 	// unusedLineInterval and unusedLineBurst limit the log lines about reports that are not used.
 	unusedLineInterval = time.Second
 	unusedLineBurst    = 5
--- a/internal/agentless/crashfeed/crashfeed_test.go
+++ b/internal/agentless/crashfeed/crashfeed_test.go
@@ -339,6 +339,22 @@
 		Eventually(entries[1].receiver.state("k"), timeout).Should(Equal("reported"))
 	})
 
+	// Guards against news of an end that waits for a second because that of the ends before came in
+	// several messages, while copies of the request go to further endpoints.
+	It("takes single reports without delay, and many at 32 per second", func() {
+		limiter, now := crashfeed.NewLimiter(), time.Now()
+		for range 100 {
+			Expect(crashfeed.DelayAfter(limiter, now, 1)).To(BeZero())
+		}
+		limiter = crashfeed.NewLimiter()
+		began := now
+		for range 100 {
+			now = now.Add(crashfeed.DelayAfter(limiter, now, 32))
+		}
+		Expect(now.Sub(began).Seconds()).To(BeNumerically(">=", (3200-4*32)/32))
+		Expect(crashfeed.DelayAfter(crashfeed.NewLimiter(), now, 1000)).To(BeZero(), "more than allowed")
+	})
+
 	// Guards against a rolling restart in which processes of the release before answer that they don't
 	// know the service: the other way must go on, and the log must not fill.
 	It("goes on beside a process of a release without the service", func() {
--- a/internal/agentless/crashfeed/link.go
+++ b/internal/agentless/crashfeed/link.go
@@ -59,7 +59,7 @@
 // follow receives the reports of the upstream process until ctx ends.
 func (l *link) follow(ctx context.Context) {
 	f := l.feed
-	limiter := rate.NewLimiter(rate.Every(messageInterval), messageBurst)
+	limiter := newLimiter()
 	var position changefeed.Position
 	retry := backoff{}
 	for ctx.Err() == nil {
@@ -83,12 +83,18 @@
 			_ = f.learn(source.Name, true, false, e) // learn has logged the error
 		}
 		position = reply.Position
-		if len(reply.Entries) > 0 && limiter.Wait(ctx) != nil {
-			return // ctx has ended
-		}
+		sleep(ctx, delayAfter(limiter, time.Now(), len(reply.Entries)))
 	}
 }
 
+// newLimiter returns the limiter of the reports that are taken from one process.
+func newLimiter() *rate.Limiter { return rate.NewLimiter(reportsPerSecond, reportBurst) }
+
+// delayAfter returns the time to wait after a message with this many reports.
+func delayAfter(l *rate.Limiter, now time.Time, reports int) time.Duration {
+	return l.ReserveN(now, min(reports, reportBurst)).DelayFrom(now)
+}
+
 // reached records the run of the upstream process that answered. A run that did not get the pending
 // entries gets all of them.
 func (l *link) reached(r run) {
