review: the jobs of an owner that is lost while no worker runs are orphaned (LOST)

Tried: a step on one entry and three workers with stand-ins of the store and of engines; all workers lose power for 3 s, and the owner of the step is replaced by a machine with another name.

--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -31,6 +31,7 @@
 	file  *os.File
 	began time.Time
 	runs  map[string]int // by request ID
+	last  time.Time      // when an engine last began to run a request
 	onRun func(e *engine, r *http.Request, body []byte)
 }
 
@@ -56,6 +57,7 @@
 	id := request.Header.Get(requestID)
 	r.mu.Lock()
 	r.runs[id]++
+	r.last = time.Now()
 	hook := r.onRun
 	r.mu.Unlock()
 	r.note("engine %s (%s) runs request %s: %s %s, %d bytes", e.id, e.service, id, request.Method, request.URL.RequestURI(), len(body))
@@ -64,6 +66,13 @@
 	}
 }
 
+// lastRun returns when an engine last began to run a request.
+func (r *recorder) lastRun() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.last
+}
+
 func (r *recorder) runsOf(id string) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -86,6 +95,8 @@
 	engines   []*engine
 	processes []*process
 	statusS   int // bound of the deployment
+	// bootstrapped is set once the whole system has started for the first time.
+	bootstrapped bool
 }
 
 // newFleet starts the stand-ins of the store and of the engines.
@@ -144,7 +155,7 @@
 	at := func(i int) string { return net.JoinHostPort(ip, strconv.Itoa(p[i])) }
 	s := map[string]any{
 		"nodeName": name, "role": "entry", "machineClass": class, "serves": []string{class}, "ip": ip, "zone": zone, "region": "region-a",
-		"zones": map[string]string{zone: "region-a"}, "portRange": []int{p[0], p[0]}, "seeds": []string{}, "bootstrap": true, "faultCounted": class == "storage",
+		"zones": map[string]string{zone: "region-a"}, "portRange": []int{p[0], p[0]}, "seeds": []string{}, "bootstrap": !f.bootstrapped, "faultCounted": class == "storage",
 		"listenAddrs": map[string]string{}, "dataDir": nil, "discovery": "platform", "entry": "virtual_ip", "heartbeatMs": 1200,
 		"limits":         map[string]any{"cpuShare": 0.304, "cores": 1, "memoryMb": 284, "maxFds": 4100, "linkMbps": 1000.0, "diskMb": 0},
 		"contracts":      []string{"base", "drain", "config", "cost", "recover", "samples", "stream", "engine", "batch", "platform"},
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -22,6 +22,8 @@
 	"silence":  playSilence,
 	"late":     playLate,
 	"swept":    playSwept,
+	"orphaned": playOrphaned,
+	"entry":    playEntryOwned,
 	"refused":  playRefused,
 	"large":    playLarge,
 }
--- a/review/stand/others.go
+++ b/review/stand/others.go
@@ -124,3 +124,71 @@
 	}
 	return held, nil
 }
+
+// playEntryOwned submits a step while all workers are down, so that an entry owns it. With the
+// disruption that entry is lost for good after the workers are back.
+func playEntryOwned(record *recorder, trouble bool) (int, error) {
+	routes := []map[string]any{
+		{"name": "rollout", "host": host, "prefix": "/roll/", "kind": "rollout", "service": modelService, "timeoutMs": 10000, "sloMs": 400, "dueMs": 7500, "itemTtlS": 120, "priority": 1, "maxAttempts": 3},
+	}
+	var engines []*engine
+	for i := 1; i <= 3; i++ {
+		engines = append(engines, &engine{id: fmt.Sprintf("i-llm-%d", i), service: modelService, events: 150, pace: 60 * time.Millisecond})
+	}
+	f, err := newFleet(record, engines, config(defaultCapacity, routes...))
+	if err != nil {
+		return failed, err
+	}
+	defer f.stop()
+	started := map[string]*process{}
+	for _, name := range []string{"edge-1", "edge-2", "edge-3", "storage-1", "storage-2"} {
+		class := "edge"
+		if strings.HasPrefix(name, "storage") {
+			class = "storage"
+		}
+		if started[name], err = f.startProcess(name, class); err != nil {
+			return failed, err
+		}
+	}
+	for _, name := range []string{"edge-1", "edge-2", "edge-3"} {
+		if err := f.awaitReady(started[name]); err != nil {
+			return failed, err
+		}
+	}
+	time.Sleep(5 * time.Second)
+	for _, name := range []string{"storage-1", "storage-2"} {
+		record.note("%s loses power", name)
+		_ = started[name].command.Process.Kill()
+	}
+	time.Sleep(3500 * time.Millisecond)
+	items := []any{}
+	for i := range 6 {
+		items = append(items, map[string]any{
+			"id": fmt.Sprintf("e5b2907c14da8f%02d", i), "path": fmt.Sprintf("/roll/%d", i), "body": []byte("prompt"), "tokens": 300, "group": "g0",
+			"headers": map[string]string{"Siskinloom-Model": modelName, "Siskinloom-Token-Count": "100,160", "Siskinloom-Prompt-Prefix": "9c2e41:100"},
+		})
+	}
+	job := map[string]any{"step": 0, "model": modelName, "minVersion": 1, "groupCount": 1, "items": items}
+	if err := submit(f, started["edge-1"], orphanedJob, job); err != nil {
+		return failed, err
+	}
+	accepted := time.Now()
+	f.bootstrapped = true
+	for _, name := range []string{"storage-1", "storage-2"} {
+		if _, err := f.startProcess(name, "storage"); err != nil {
+			return failed, err
+		}
+	}
+	time.Sleep(4 * time.Second)
+	owner := f.store.ownerOf(orphanedJob)
+	record.note("the store assigns the job to %q", owner)
+	reader := started["edge-1"]
+	if owner == "edge-1" {
+		reader = started["edge-2"]
+	}
+	if trouble && strings.HasPrefix(owner, "edge") {
+		record.note("%s is lost for good", owner)
+		_ = started[owner].command.Process.Kill()
+	}
+	return watchOrphaned(f, reader, accepted, time.Now())
+}
