platform, batchrun: what can't be sent is refused at the submission and blames no endpoint

What callers would see: a job whose items have a path with a space is answered 202; the pool refuses to write the request, and the owner takes that for an endpoint that can't be reached. In the spec two such items had both engines out of use for 490 ms, again and again until the job expired (6 tries in 2 s), at the expense of all other customers; the same for a scoring call. Line breaks in IDs and headers were replaced, so that an engine ran another request than was submitted.

Cause: a caller's request is checked by the HTTP server at the door; an item had no such door, and the last step had no error of its own for "can't be sent".

Ruled out: that an endpoint refuses the request; no connection is opened.

Change: - upstream checks method, target, host and headers of each call before it takes a connection, and returns ErrMalformed; - a submission is checked by the same functions: 400 with the place of each fault, at most 16. Headers that are dropped from requests are dropped; - an accepted item or scoring call that can't be sent (a job of an earlier release) is tried once, blames no endpoint and is aborted when the job expires; a result may not be aborted sooner; - CONNECT is refused; an endpoint whose ID can't be a header is not used.

--- a/internal/agentless/batchrun/itemrun.go
+++ b/internal/agentless/batchrun/itemrun.go
@@ -216,6 +216,8 @@
 func classifyRunError(ctx context.Context, err error) (batch.RunOutcome, endpoints.Outcome, error) {
 	var send *upstream.SendError
 	switch {
+	case errors.Is(err, upstream.ErrMalformed):
+		return batch.RunUnsendable, endpoints.Cancelled, err
 	case errors.Is(context.Cause(ctx), errEngineTimeout):
 		return batch.RunInterrupted, endpoints.Unreachable, errEngineTimeout
 	case ctx.Err() != nil:
--- a/internal/agentless/batchrun/runs.go
+++ b/internal/agentless/batchrun/runs.go
@@ -77,7 +77,7 @@
 }
 
 // runOutcomeNames holds the names of the outcomes of runs in log lines, by batch.RunOutcome.
-var runOutcomeNames = [...]string{"complete", "broke", "refused", "failed", "impossible", "off-version", "moved"}
+var runOutcomeNames = [...]string{"complete", "broke", "refused", "failed", "impossible", "off-version", "moved", "unsendable"}
 
 func (o *Owner) recordRun(r *itemRun, runOutcome batch.RunOutcome, took time.Duration, err error) {
 	switch runOutcome {
@@ -211,6 +211,9 @@
 	defer cancel()
 	request := &dispatch.Request{ID: scorer.ID, Method: http.MethodPost, Target: scorer.Path, Host: scorer.Host, Header: http.Header{}, Body: scorer.Body, Timeout: scoreTimeout, Urgency: -1}
 	answer, err := o.Sender.Send(ctx, &pick.Endpoint, request)
+	if errors.Is(err, upstream.ErrMalformed) {
+		return batch.ScoreUnsendable, endpoints.Cancelled, "", err
+	}
 	if err != nil {
 		return batch.ScoreRetryable, classifyScoreError(j.ctx, err), "", err
 	}
--- a/internal/agentless/gate/execution.go
+++ b/internal/agentless/gate/execution.go
@@ -363,7 +363,7 @@
 	var send *upstream.SendError
 	notRun := errors.As(err, &send) && !send.Sent
 	switch {
-	case ctx.Err() != nil:
+	case ctx.Err() != nil, errors.Is(err, upstream.ErrMalformed):
 		return attempt{notRun: notRun, err: err}, endpoints.Cancelled
 	case notRun:
 		return attempt{notRun: true, err: err}, endpoints.Unreachable
--- a/internal/agentless/upstream/call.go
+++ b/internal/agentless/upstream/call.go
@@ -115,8 +115,8 @@
 
 // head returns the request line and the headers as sent.
 func (call *Call) head() ([]byte, error) {
-	if strings.ContainsAny(call.Target, " \r\n") || strings.ContainsAny(call.Host, " \r\n") {
-		return nil, errors.New("malformed target or host")
+	if err := call.check(); err != nil {
+		return nil, err
 	}
 	var b bytes.Buffer
 	b.Grow(1024)
--- a/internal/agentless/upstream/upstream_test.go
+++ b/internal/agentless/upstream/upstream_test.go
@@ -165,6 +165,38 @@
 		Expect(sent(err)).To(BeFalse())
 	})
 
+	// Guards against bytes on a connection that the endpoint reads as another request than was
+	// meant, whatever checked the call before.
+	DescribeTable("opens no connection for a call that is no single request",
+		func(change func(c *upstream.Call)) {
+			c := call()
+			change(c)
+			dials := 0
+			_, err := read(upstream.NewPool(func() { dials++ }, nil), "127.0.0.1:1", c)
+			Expect(err).To(MatchError(upstream.ErrMalformed))
+			Expect(sent(err)).To(BeFalse())
+			Expect(dials).To(BeZero())
+		},
+		Entry("empty method", func(c *upstream.Call) { c.Method = "" }),
+		Entry("method with a space", func(c *upstream.Call) { c.Method = "GET /q" }),
+		Entry("tunnel", func(c *upstream.Call) { c.Method = http.MethodConnect }),
+		Entry("empty target", func(c *upstream.Call) { c.Target = "" }),
+		Entry("target with a space", func(c *upstream.Call) { c.Target = "/p q" }),
+		Entry("target with a line feed", func(c *upstream.Call) { c.Target = "/p\nX: y" }),
+		Entry("target with a tabulator", func(c *upstream.Call) { c.Target = "/p\tHTTP/1.1" }),
+		Entry("target with a zero byte", func(c *upstream.Call) { c.Target = "/p\x00" }),
+		Entry("empty host", func(c *upstream.Call) { c.Host = "" }),
+		Entry("host with a line break", func(c *upstream.Call) { c.Host = "h\r\nX: y" }),
+		Entry("host with a zero byte", func(c *upstream.Call) { c.Host = "h\x00" }),
+		Entry("second length", func(c *upstream.Call) { c.Header = http.Header{"Content-Length": {"4"}} }),
+		Entry("second host in lower case", func(c *upstream.Call) { c.Header = http.Header{"host": {"x"}} }),
+		Entry("transfer coding", func(c *upstream.Call) { c.Header = http.Header{"Transfer-Encoding": {"chunked"}} }),
+		Entry("header name with a space", func(c *upstream.Call) { c.Header = http.Header{"Transfer-Encoding ": {"chunked"}} }),
+		Entry("header name with a line break", func(c *upstream.Call) { c.Header = http.Header{"X\r\nY": {"v"}} }),
+		Entry("header value with a line break", func(c *upstream.Call) { c.Header = http.Header{"X": {"v\r\nY: z"}} }),
+		Entry("header value with a zero byte", func(c *upstream.Call) { c.Header = http.Header{"X": {"v\x00"}} }),
+	)
+
 	It("closes the connection when the caller cancels, so that the endpoint stops", func() {
 		// The caller cancels half a second into a long run. The engine sees the connection close and
 		// gives the slot to another request.
--- a/internal/policy/batch/batch_test.go
+++ b/internal/policy/batch/batch_test.go
@@ -211,6 +211,51 @@
 		Expect(j.Finished()).To(BeTrue())
 	})
 
+	// Guards against a loop of sends that can't succeed, and against a result that is aborted
+	// before the trainer expects it.
+	It("does not start an unsendable item again and aborts it when the job expires, or at once if it never does", func() {
+		for _, expires := range []bool{true, false} {
+			spec := spec(2)
+			if !expires {
+				spec.Expires = time.Time{}
+			}
+			j := batch.NewJob(spec, nil)
+			j.RunEnded(start, mustStartNext(j, start).Index, batch.RunUnsendable, "e1")
+			mustStartNext(j, start.Add(39*time.Second))
+			_, more := j.Next(start.Add(39 * time.Second))
+			Expect(more).To(BeFalse())
+			_, results := j.PendingResults()
+			if expires {
+				Expect(results).To(BeEmpty())
+				Expect(j.Expire(start.Add(40 * time.Second))).To(BeTrue())
+				_, results = j.PendingResults()
+			}
+			Expect(results).To(ContainElement(batch.Result{Item: "i0", State: batch.Aborted}))
+		}
+	})
+
+	It("does not repeat an unsendable scoring call before the job expires", func() {
+		for _, expires := range []bool{true, false} {
+			spec := spec(1)
+			spec.Items[0].Scorer = &batch.Scorer{ID: "s"}
+			if !expires {
+				spec.Expires = time.Time{}
+			}
+			j := batch.NewJob(spec, nil)
+			mustStartNext(j, start)
+			addEvents(j, 0, 1, 1, 3)
+			j.RunEnded(start, 0, batch.RunComplete, "e1")
+			i, _, found := j.NextScore(start, 0)
+			Expect(found).To(BeTrue())
+			j.ScoringEnded(start, i, batch.ScoreUnsendable, "", 3)
+			_, _, found = j.NextScore(start.Add(39*time.Second), 0)
+			Expect(found).To(BeFalse())
+			Expect(j.Expire(start.Add(40 * time.Second))).To(Equal(expires))
+			_, results := j.PendingResults()
+			Expect(results).To(Equal([]batch.Result{{Item: "i0", State: batch.Aborted}}))
+		}
+	})
+
 	It("returns only durable results, at the same positions after a restart", func() {
 		// The owner fails after it decided two results, of which one is durable. Its
 		// successor lists the durable one first and generates the other again, so that a
--- a/internal/policy/batch/job.go
+++ b/internal/policy/batch/job.go
@@ -154,6 +154,7 @@
 	RunImpossible                        // the engine reported that the item can never be generated
 	RunVersionMismatch                   // the engine's weight version cannot continue the text so far
 	RunCancelledToMove                   // this process cancelled the run, as another engine is faster or has fewer requests
+	RunUnsendable                        // the item can't be sent to any engine
 )
 
 // RunEnded records that an item's run at an engine ended. The item is then scored,
@@ -186,9 +187,21 @@
 		}
 	case RunImpossible:
 		j.abort(i)
+	case RunUnsendable:
+		j.waitForExpiry(i)
 	}
 }
 
+// waitForExpiry lets an item that can't be served wait until its job expires, because a result
+// may not be aborted before. If the job never expires, the item is aborted at once.
+func (j *Job) waitForExpiry(i int) {
+	if j.Spec.Expires.IsZero() {
+		j.abort(i)
+		return
+	}
+	j.items[i].notBefore = j.Spec.Expires
+}
+
 func (it *itemState) resetText() {
 	it.text, it.lastEvent, it.versions, it.eventVersions = nil, 0, nil, nil
 }
--- a/internal/policy/batch/score.go
+++ b/internal/policy/batch/score.go
@@ -74,6 +74,7 @@
 	ScoreFailed                   // the scorer reported a failure
 	ScoreRetryable                // the call was refused, or no complete answer arrived
 	ScoreQuarantined              // the call was not made, as it ends its endpoints
+	ScoreUnsendable               // the call can't be sent to any scorer
 )
 
 // ScoringEnded records that a scoring call ended. maxAttempts is the number of failures that
@@ -99,6 +100,11 @@
 		it.notBefore = now.Add(refusalBackoff)
 	case ScoreQuarantined:
 		it.notBefore = now.Add(quarantineBackoff)
+	case ScoreUnsendable:
+		j.waitForExpiry(i)
+		if it.phase == ended {
+			return
+		}
 	}
 	if it.scoringCalls.inFlight == 0 {
 		it.phase = generated
