gate: a request whose time is over without a slot is refused by the queue

What callers saw: a Retry-After of 50 to 150 ms or of 50 to 75 ms, depending on whether the deadline or the queue was faster; operators missed the former in the queue's counts.

Cause: two places refused such a request. If its time was over before it asked for a slot, or its deadline fired before the queue looked at it, the general refusal answered, which has no reason, is not counted by the queue, and whose time to come back belongs to services without room.

Ruled out: that the queue computes another time for many refusals; the outcome's reason is empty in the failing case.

Change: finalOutcome has the queue refuse a request that was never sent and whose time is over; a refusal that the queue made meanwhile is kept and counted once. Plain requests and streams; nothing changes without customers, where no queue is used.

Evidence: the new spec (time over on arrival) fails before in each run, with an empty reason, for requests and streams; passes. No bound changed.

--- a/internal/agentless/gate/admission.go
+++ b/internal/agentless/gate/admission.go
@@ -181,10 +181,19 @@
 
 // leaveQueue takes the request out of the queue at its end.
 func (e *execution) leaveQueue() {
-	if e.waiting != nil {
-		e.queue.abandon(time.Now(), e.waiting)
-		e.waiting = nil
+	if e.waiting == nil {
+		return
+	}
+	if refused := e.queue.abandon(time.Now(), e.waiting); refused != nil {
+		e.refused = refused
 	}
+	e.waiting = nil
+}
+
+// expiredUnsent returns whether the request's time was over before it got a slot of its service.
+// The queue refuses such a request if it looks at it first.
+func (e *execution) expiredUnsent() bool {
+	return e.queue != nil && e.heldBack == 0 && len(e.allTried()) == 0 && e.request.remaining(e.route, time.Now()) <= 0
 }
 
 // neverRan returns whether a request that is served through a queue certainly did not run.
--- a/internal/agentless/gate/admission_test.go
+++ b/internal/agentless/gate/admission_test.go
@@ -186,6 +186,33 @@
 		Expect(len(times)).To(BeNumerically(">", 5))
 	})
 
+	// Guards against a refusal that depends on whether the deadline or the queue is faster: without
+	// the queue's reason, operators miss it, and its time to come back is that of another failure.
+	DescribeTable("are refused by the queue if their time is over before it looks at them",
+		func(serve func(r *gate.Request) gate.Outcome) {
+			release := fill(2)
+			defer release()
+			times := map[time.Duration]bool{}
+			for range 40 {
+				r := from("small", "late")
+				r.Timeout, r.Arrived = time.Millisecond, time.Now().Add(-2*time.Millisecond)
+				o := serve(r)
+				Expect(o.End).To(Equal(gate.Refused))
+				Expect(o.Reason).To(Equal("deadline"))
+				Expect(o.RetryAfter).To(And(BeNumerically(">=", 50*time.Millisecond), BeNumerically("<=", 75*time.Millisecond)))
+				times[o.RetryAfter/time.Millisecond] = true
+			}
+			Expect(len(times)).To(BeNumerically(">", 5))
+			Expect(g.QueueStatus()[0].Refused).To(HaveKeyWithValue("deadline", int64(40)))
+		},
+		Entry("requests", func(r *gate.Request) gate.Outcome {
+			return g.Serve(context.Background(), route(deployment.NonIdempotent), r)
+		}),
+		Entry("streams", func(r *gate.Request) gate.Outcome {
+			return g.Stream(context.Background(), route(deployment.Streaming), r, &sink{})
+		}),
+	)
+
 	It("return to the queue if all endpoints are full, and are sent again", func() {
 		fullFor(150 * time.Millisecond)
 		o := <-serve(context.Background(), deployment.NonIdempotent, from("small", "patient"))
--- a/internal/agentless/gate/execution.go
+++ b/internal/agentless/gate/execution.go
@@ -106,6 +106,7 @@
 			e.takeTurn(ctx, hedge)
 		case <-ctx.Done():
 			if e.neverRan() {
+				e.leaveQueue()
 				return e.finalOutcome()
 			}
 			return Outcome{End: TimedOut}
@@ -124,6 +125,8 @@
 		return Outcome{End: Unknown}
 	case e.refused != nil:
 		return queueRefusal(e.refused)
+	case e.expiredUnsent():
+		return queueRefusal(e.queue.refuseExpired(e.request.Customer))
 	default:
 		return e.refusal()
 	}
--- a/internal/agentless/gate/queue.go
+++ b/internal/agentless/gate/queue.go
@@ -208,19 +208,30 @@
 	q.adapt(now, "full", func() { q.limiter.Refused(now, q.policy.Load().Running+1) })
 }
 
-// abandon takes a request out of the queue whose caller left or which was answered meanwhile.
-func (q *serviceQueue) abandon(now time.Time, w *waiter) {
+// abandon takes a request out of the queue whose caller left, whose time is over or which was
+// answered meanwhile. It returns the queue's refusal if there was one before.
+func (q *serviceQueue) abandon(now time.Time, w *waiter) *admission.Action {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.waiters[w.id] == nil { // decided
 		if w.refused == nil {
 			q.apply(now, q.policy.Done(now, w.id))
 		}
-		return
+		return w.refused
 	}
 	delete(q.waiters, w.id)
 	_, _, actions := q.policy.Cancel(now, w.id)
 	q.apply(now, actions)
+	return nil
+}
+
+// refuseExpired counts and returns the refusal of a request whose time was over before the queue
+// decided on it.
+func (q *serviceQueue) refuseExpired(customer string) *admission.Action {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.countRefusal(customer, wire.ReasonDeadline)
+	return &admission.Action{Kind: admission.Refuse, Reason: wire.ReasonDeadline}
 }
 
 // leave prepares the queue for the end of the process at a time. Requests that can't be served
--- a/internal/agentless/gate/stream.go
+++ b/internal/agentless/gate/stream.go
@@ -129,7 +129,8 @@
 	case <-ctx.Done():
 	}
 	if ctx.Err() != nil {
-		s.queue.abandon(time.Now(), w)
+		s.waiting = w
+		s.leaveQueue()
 		return grant{}, false
 	}
 	s.refused = w.refused
