fairshare, sharerun: reports recorded in the wrong order all count

What callers saw: for an interval of 100 ms a process was given all slots of a service while another one still used its half, so that endpoints refused requests as full.

Cause: the worker took the time of a report before it waited for the table's lock. Two reports within a microsecond were recorded in the wrong order, and the table dropped the one that was received after "now".

Ruled out: that the spec mixes a guess of the client with an allotment. A line for each exchange showed the worker answering "1 process" right after "2 processes".

Change: the time is taken under the lock; a report that is newer than the time of an exchange is not dropped as old.

Evidence: a new spec of the policy with the two times in the wrong order fails before (12 slots for 6), passes. No bound changed.

--- a/internal/agentless/sharerun/exchange.go
+++ b/internal/agentless/sharerun/exchange.go
@@ -53,7 +53,7 @@
 // for the other calls on it; a second one closes it, as it may be silent forever.
 func (r *Runner) exchange(ctx context.Context, call *fairshare.Call) (reply fairshare.Allotment, err error) {
 	if call.Worker == r.Self.Name {
-		return r.tables.exchange(time.Now(), call.Report)
+		return r.tables.exchange(call.Report)
 	}
 	worker, listed := r.Members.Get(call.Worker)
 	if !listed {
@@ -84,7 +84,7 @@
 
 // Exchange records a process's report and returns its allotment.
 func (s *Service) Exchange(report fairshare.Report, reply *fairshare.Allotment) (err error) {
-	*reply, err = s.tables.exchange(time.Now(), report)
+	*reply, err = s.tables.exchange(report)
 	return err
 }
 
@@ -96,17 +96,18 @@
 	table  *fairshare.Table
 }
 
-// exchange records a report and returns the allotment of its process.
-func (t *tables) exchange(now time.Time, report fairshare.Report) (fairshare.Allotment, error) {
+// exchange records a report and returns the allotment of its process. Reports are recorded in the
+// order of their times.
+func (t *tables) exchange(report fairshare.Report) (fairshare.Allotment, error) {
 	t.runner.stats.received.Inc(1)
-	usable, faults, err := report.Check(now)
+	usable, faults, err := report.Check(time.Now())
 	if err != nil {
 		return fairshare.Allotment{}, err
 	}
 	t.runner.logUnused(usable.Process, faults)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.table.Exchange(now, usable)
+	return t.table.Exchange(time.Now(), usable)
 }
 
 func (t *tables) status(now time.Time) []fairshare.DivisionStatus {
--- a/internal/policy/fairshare/divide_test.go
+++ b/internal/policy/fairshare/divide_test.go
@@ -167,6 +167,23 @@
 	})
 })
 
+var _ = Describe("reports that are recorded at nearly the same time", func() {
+	// Guards against a process that loses its part of a service for an interval because another
+	// one's report, taken up a moment earlier, is recorded after it.
+	It("all count, also if the later one is recorded first", func() {
+		table := fairshare.NewTable()
+		for i, at := range []time.Duration{0, 0, 150 * time.Millisecond, 150*time.Millisecond - time.Microsecond} {
+			r := report(fmt.Sprint("p", i%2), 12, demand(fmt.Sprint("customer-", i%2), 100))
+			r.At = start.Add(at)
+			a, err := table.Exchange(start.Add(at), r)
+			Expect(err).NotTo(HaveOccurred())
+			if i > 0 {
+				Expect(a.Slots).To(Equal(6), "exchange %d", i)
+			}
+		}
+	})
+})
+
 // FuzzReport checks that a report of any content from another process, and the allotment that it
 // leads to, are decoded, corrected and used without a panic, and that the result is in range.
 func FuzzReport(f *testing.F) {
--- a/internal/policy/fairshare/table.go
+++ b/internal/policy/fairshare/table.go
@@ -83,7 +83,7 @@
 	s.expiredAt = now
 	validity := Validity(len(s.byProcess))
 	for process, r := range s.byProcess {
-		if age := now.Sub(r.receivedAt); age < 0 || age > validity {
+		if now.Sub(r.receivedAt) > validity {
 			delete(s.byProcess, process)
 		}
 	}
