--- a/internal/agentless/cluster/topic.go
+++ b/internal/agentless/cluster/topic.go
@@ -102,6 +102,15 @@
 	return false
 }
 
+// VisitKeys calls visit with each known key. It must not call the topic.
+func (t *Topic) VisitKeys(visit func(key string)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for key := range t.revisions {
+		visit(key)
+	}
+}
+
 // reset makes the topic be listed again.
 func (t *Topic) reset() {
 	t.mu.Lock()
--- a/internal/agentless/node/topics.go
+++ b/internal/agentless/node/topics.go
@@ -118,6 +118,13 @@
 		}
 		v.relayed = []followedTopic{{operator, 0, 0}, {endpoints, 0, listCoalesceDelay}, {members, membersWatchTimeout, listCoalesceDelay}, {all, batchrun.AssignmentsWatchTimeout, assignmentCoalesceDelay}}
 		n.addToRelay(v.relayed)
+		reconciler := &batchrun.Reconciler{
+			Mover: n.mover, VisitAssignments: all.VisitKeys, Log: n.log, Registry: n.registry,
+			Current: func() bool {
+				return n.role() != fanout.Leaf && n.contact.isCurrent() && all.AsOf() != 0 && members.AsOf() != 0
+			},
+		}
+		group.Go(func() error { return reconciler.Run(ctx) })
 	} else {
 		endpoints.Scopes = n.requiredServices
 	}
--- a/internal/events/fleet.go
+++ b/internal/events/fleet.go
@@ -47,6 +47,7 @@
 	ResultsResumed   = define(2123, logrus.InfoLevel, "results are written again")
 	StandbyRuns      = define(2125, logrus.WarnLevel, "standby runs the batch job of a lost owner while the store is unreachable")
 	StandbyEnded     = define(2126, logrus.InfoLevel, "standby stopped running a batch job")
+	OwnerMissing     = define(2127, logrus.WarnLevel, "owner of batch jobs is not registered; its jobs are moved")
 	JobsNotMoved     = define(2124, logrus.WarnLevel, "jobs of a lost process could not be moved")
 	JobSwept         = define(2116, logrus.InfoLevel, "old batch job removed from the store")
 	ReadFailed       = define(2114, logrus.WarnLevel, "results of a batch job could not be read")
