--- a/internal/agentless/batchrun/frontend.go
+++ b/internal/agentless/batchrun/frontend.go
@@ -127,8 +127,23 @@
 	if committed.Done {
 		f.remember(spec.ID, record)
 		f.notifyAccepted(owner, spec.ID, committed.Revision)
+		return true, nil
+	}
+	return f.acceptedBefore(ctx, spec.ID)
+}
+
+// acceptedBefore reports whether a job whose record exists was accepted. The record of an old job
+// with the same ID may still be there although the job is being removed.
+func (f *Frontend) acceptedBefore(ctx context.Context, id string) (bool, error) {
+	stored, _, err := f.fetchRecord(ctx, id)
+	switch {
+	case err != nil:
+		return false, errors.Wrap(kv.ErrUnknown, err.Error()) // it may have been accepted
+	case stored.Revision == 0:
+		return false, errors.Wrap(kv.ErrUnavailable, "an old job with this ID is being removed")
+	default:
+		return true, nil
 	}
-	return true, nil // otherwise the key exists: the job was accepted before
 }
 
 // acceptance returns the transaction that stores a new job with its assignment.
--- a/internal/agentless/batchrun/records.go
+++ b/internal/agentless/batchrun/records.go
@@ -70,6 +70,8 @@
 	Total     int
 	Parts     int
 	Ended     bool
+	// Removing means that the job's results and spec are being deleted: for readers it is gone.
+	Removing bool
 }
 
 // assignmentRecord is the value of the key todo/OWNER/ID.
@@ -92,14 +94,20 @@
 func assignedJob(key string) string { return key[strings.LastIndexByte(key, '/')+1:] }
 
 // readRecord reads a job's record from the store. The returned kv.Record has revision 0 if
-// there is no such job.
+// there is no such job, or if it is being removed.
 func readRecord(ctx context.Context, store kv.TransactionalStore, id string) (kv.Record, jobRecord, error) {
 	var record jobRecord
 	stored, err := store.Read(ctx, jobKey(id))
 	if err != nil || stored.Revision == 0 {
 		return stored, record, err
 	}
-	return stored, record, errors.Wrapf(decode(stored.Value, &record), "job %s", id)
+	if err := decode(stored.Value, &record); err != nil {
+		return stored, record, errors.Wrapf(err, "job %s", id)
+	}
+	if record.Removing {
+		return kv.Record{Key: stored.Key}, jobRecord{}, nil
+	}
+	return stored, record, nil
 }
 
 func encode(v any) ([]byte, error) {
--- a/internal/policy/batch/batch_test.go
+++ b/internal/policy/batch/batch_test.go
@@ -483,3 +483,20 @@
 		Expect(strings.HasPrefix(starts(s), "0 ")).To(BeTrue())
 	})
 })
+
+var _ = Describe("Retention", func() {
+	const ttl, skew = 2 * time.Minute, 30 * time.Second
+	retention := batch.Retention{ResultTTL: ttl, ClockSkew: skew}
+
+	DescribeTable("keeps a job until what permits its removal has happened",
+		func(age time.Duration, ended bool, want batch.Removal) {
+			Expect(retention.Decide(start.Add(age), start, ended)).To(Equal(want))
+		},
+		Entry("ended, results must be readable", ttl+skew-time.Nanosecond, true, batch.Keep),
+		Entry("ended and old", ttl+skew, true, batch.RemoveEnded),
+		Entry("open and older than its results would be kept", ttl+skew, false, batch.Keep),
+		Entry("open for days", batch.AbandonedTTL+skew-time.Nanosecond, false, batch.Keep),
+		Entry("abandoned", batch.AbandonedTTL+skew, false, batch.RemoveAbandoned),
+		Entry("submitted by a clock that is ahead", -time.Hour, true, batch.Keep),
+	)
+})
