gate: a stream that can't be resumed outlives its endpoint's silence

Cause: the idle timeout lets a resumable stream continue elsewhere before its caller gives up. It was applied to every stream; one that can't be resumed is only ended by it.

Ruled out: the shutdown; a spec without one is interrupted after 1.2 s, too.

Change: only resumable streams are watched for silence.

--- a/internal/agentless/gate/stream.go
+++ b/internal/agentless/gate/stream.go
@@ -17,9 +17,10 @@
 	"siskinloom.example/siskinloom/internal/policy/endpoints"
 )
 
-// streamIdleTimeout is how long an endpoint may send no event of a stream before it is
-// considered hung and a resumable stream continues at another endpoint. It lies below the
-// 2 s after which a caller gives up.
+// streamIdleTimeout is how long an endpoint may send no event of a resumable stream before it is
+// considered hung and the stream continues at another endpoint. It lies below the 2 s after
+// which a caller gives up. Another stream waits for its endpoint as long as its caller does:
+// nobody else may continue it, and an engine that preempted it is silent until it goes on.
 const streamIdleTimeout = 1200 * time.Millisecond
 
 // errStalled is the cancellation cause of a stream whose endpoint sent no event for
@@ -232,17 +233,29 @@
 	return s.sink.Begin(answer.Status, answer.Header)
 }
 
+// watchIdle cancels a resumable stream if its endpoint sends no event for streamIdleTimeout. The
+// timer must be reset with each event.
+func (s *stream) watchIdle(cancel context.CancelCauseFunc) *time.Timer {
+	idle := time.AfterFunc(streamIdleTimeout, func() { cancel(errStalled) })
+	if !s.route.Resumable {
+		idle.Stop()
+	}
+	return idle
+}
+
 // forwardEvents forwards events to the sink until the stream ends. The error is io.EOF if the
 // stream is complete.
 func (s *stream) forwardEvents(cancel context.CancelCauseFunc, in *dispatch.EventReader) error {
-	idleTimer := time.AfterFunc(streamIdleTimeout, func() { cancel(errStalled) })
-	defer idleTimer.Stop()
+	idle := s.watchIdle(cancel)
+	defer idle.Stop()
 	for {
 		event, err := in.Next()
 		if err != nil {
 			return err
 		}
-		idleTimer.Reset(streamIdleTimeout)
+		if s.route.Resumable {
+			idle.Reset(streamIdleTimeout)
+		}
 		s.usage.CountStart(time.Now()) // a stream counts as started with its first event
 		if event.ID != 0 && event.ID <= s.lastEvent {
 			return errors.Errorf("event %d received after event %d", event.ID, s.lastEvent)
