gate: a status that promises "not run" is passed on only if the endpoint states it

What callers saw: an engine runs a non-idempotent request and answers 503 without stating that it has not run it.

Cause: the gate takes the endpoint's own statement for its retries, but passed any other answer on as it was. 408, 421, 429 and 503 are promises to callers, also when an endpoint has not made them.

Ruled out: a second attempt by the gate; the request ran once.

Others are passed on as before, and so are all answers to idempotent requests.

--- a/internal/agentless/gate/execution.go
+++ b/internal/agentless/gate/execution.go
@@ -21,9 +21,15 @@
 	"siskinloom.example/siskinloom/internal/policy/routes"
 )
 
-// errUnverified reports an answer that carries no signature of the endpoint or whose body an
-// intermediary encoded.
-var errUnverified = errors.New("gate: answer is unsigned or was modified in transit")
+// Errors of answers that are not passed on.
+var (
+	// errUnverified reports an answer that carries no signature of the endpoint or whose body an
+	// intermediary encoded.
+	errUnverified = errors.New("gate: answer is unsigned or was modified in transit")
+	// errUnproven reports a status which promises that the request has not run, of an endpoint that
+	// does not state it.
+	errUnproven = errors.New("gate: endpoint refuses the request but does not state that it has not run")
+)
 
 // attempt is the result of sending a request to one endpoint.
 type attempt struct {
@@ -273,7 +279,7 @@
 // attempt sends the request to one endpoint and reads the whole answer.
 func (e *execution) attempt(ctx context.Context, pick *directory.Pick, remaining time.Duration) attempt {
 	start := time.Now()
-	a, endpointOutcome := e.gate.exchange(ctx, pick, e.request, remaining)
+	a, endpointOutcome := e.gate.exchange(ctx, pick, e.request, e.route.Repeatable(), remaining)
 	pick.End(time.Now(), endpointOutcome, time.Since(start), 1)
 	if !a.complete && endpointOutcome != endpoints.Cancelled {
 		e.logFailure(pick, a)
@@ -317,8 +323,9 @@
 	events.AttemptFailed.Log(e.gate.log, fields)
 }
 
-// exchange sends the request to the picked endpoint and classifies its answer.
-func (g *Gate) exchange(ctx context.Context, pick *directory.Pick, r *Request, remaining time.Duration) (attempt, endpoints.Outcome) {
+// exchange sends the request to the picked endpoint and classifies its answer. repeatable says
+// whether the request may run more than once.
+func (g *Gate) exchange(ctx context.Context, pick *directory.Pick, r *Request, repeatable bool, remaining time.Duration) (attempt, endpoints.Outcome) {
 	answer, err := g.sender.Send(ctx, &pick.Endpoint, r.endpointRequest(remaining))
 	if err != nil {
 		return classifyError(ctx, err)
@@ -330,6 +337,8 @@
 		return refusedAttempt(pick, answer), refusalOutcome(answer)
 	case err != nil:
 		return classifyError(ctx, &upstream.SendError{Sent: true, Err: err})
+	case !repeatable && promisesNotRun(answer.Status):
+		return attempt{err: errUnproven}, endpoints.Answered
 	case answer.Encoded || answer.Status < http.StatusMultipleChoices && !answer.Signed:
 		return attempt{err: errUnverified}, endpoints.BrokenAnswer
 	}
--- a/internal/agentless/gate/gate.go
+++ b/internal/agentless/gate/gate.go
@@ -317,3 +317,13 @@
 	}
 	return body, nil
 }
+
+// promisesNotRun returns whether a status tells a caller that its request has not run and never
+// will. An endpoint may use such a status for a request that it ran; only Answer.NotRun is certain.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
--- a/internal/agentless/gate/stream.go
+++ b/internal/agentless/gate/stream.go
@@ -217,7 +217,10 @@
 // such an answer can't be passed on.
 func (s *stream) plainAnswer(answer *dispatch.Answer) (Outcome, attempt, endpoints.Outcome) {
 	body, err := readBody(answer)
-	if err != nil || s.headersSent {
+	switch {
+	case err == nil && !s.route.Repeatable() && promisesNotRun(answer.Status):
+		return Outcome{}, attempt{err: errUnproven}, endpoints.Answered
+	case err != nil || s.headersSent:
 		return Outcome{}, attempt{err: errors.Errorf("status %d", answer.Status)}, endpoints.BrokenAnswer
 	}
 	outcome := Outcome{End: Answered, Status: answer.Status, Header: answer.Header, Body: body}
