gate: an answer beyond the limit of memory is an error, not a part of it

Cause: the limit of an answer that is held in memory cut the body off without an error.

Ruled out: the pool and the server; both carry the whole answer.

Open: the limit is a constant, above it nothing is streamed through, and 100 such answers at once were not measured.

--- a/internal/agentless/gate/answers_test.go
+++ b/internal/agentless/gate/answers_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
+	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -47,3 +49,42 @@
 		Expect(o.Status).To(Equal(http.StatusInternalServerError))
 	})
 })
+
+// repeatedReader reads as n bytes.
+type repeatedReader struct{ n int }
+
+func (r *repeatedReader) Read(p []byte) (int, error) {
+	if r.n == 0 {
+		return 0, io.EOF
+	}
+	n := min(len(p), r.n)
+	r.n -= n
+	return n, nil
+}
+
+var _ = Describe("an answer that is longer than the process holds in memory", func() {
+	// Guards against a part of an answer that is passed on as the whole.
+	It("is not passed on as far as it was read, and no other endpoint is asked for it", func() {
+		unhurried := route(deployment.Idempotent)
+		unhurried.Objective = unhurried.Timeout // no second endpoint is asked while the answer is read
+		for _, beyond := range []int{0, 1} {
+			s := &scriptedSender{replies: []reply{{status: http.StatusOK, reader: func() io.Reader { return &repeatedReader{gate.MaxAnswerBytes + beyond} }}}}
+			o := newGate(s, 2).Serve(context.Background(), unhurried, request())
+			Expect(s.endpoints()).To(HaveLen(1))
+			if beyond == 0 {
+				Expect(o.End).To(Equal(gate.Answered))
+				Expect(o.Body).To(HaveLen(gate.MaxAnswerBytes))
+				continue
+			}
+			Expect(o.End).To(Equal(gate.Unknown))
+			Expect(o.Body).To(BeEmpty())
+		}
+	})
+
+	It("is not passed on in place of a stream", func() {
+		s := &scriptedSender{replies: []reply{{status: http.StatusBadRequest, reader: func() io.Reader { return &repeatedReader{gate.MaxAnswerBytes + 1} }}}}
+		out := &sink{}
+		Expect(newGate(s, 2).Stream(context.Background(), route(deployment.Streaming), request(), out).End).NotTo(Equal(gate.Answered))
+		Expect(strings.Join(out.events, "")).To(BeEmpty())
+	})
+})
--- a/internal/agentless/gate/execution.go
+++ b/internal/agentless/gate/execution.go
@@ -26,6 +26,8 @@
 	// errUnverified reports an answer that carries no signature of the endpoint or whose body an
 	// intermediary encoded.
 	errUnverified = errors.New("gate: answer is unsigned or was modified in transit")
+	// errTooLarge reports an answer that is longer than maxAnswerBytes.
+	errTooLarge = errors.New("gate: answer is longer than the process holds in memory")
 	// errUnproven reports a status which promises that the request has not run, of an endpoint that
 	// does not state it.
 	errUnproven = errors.New("gate: endpoint refuses the request but does not state that it has not run")
@@ -36,6 +38,7 @@
 	outcome  Outcome // set if complete is
 	complete bool    // the whole answer was received
 	notRun   bool    // the endpoint certainly did not run the request
+	final    bool    // no further attempt would bring another answer
 	full     string  // ID of the endpoint, if it refused the request as full
 	err      error
 	sent     time.Time // when the request was sent
@@ -183,6 +186,9 @@
 	if !a.notRun {
 		e.mayHaveRun = true
 	}
+	if a.final {
+		return Outcome{End: Unknown}, true
+	}
 	if ctx.Err() != nil {
 		if e.neverRan() {
 			return e.finalOutcome(), true
@@ -335,6 +341,8 @@
 	switch {
 	case answer.NotRun || answer.Replaced:
 		return refusedAttempt(pick, answer), refusalOutcome(answer)
+	case errors.Is(err, errTooLarge):
+		return attempt{final: true, err: err}, endpoints.Answered
 	case err != nil:
 		return classifyError(ctx, &upstream.SendError{Sent: true, Err: err})
 	case !repeatable && promisesNotRun(answer.Status):
--- a/internal/agentless/gate/gate.go
+++ b/internal/agentless/gate/gate.go
@@ -308,12 +308,14 @@
 	}
 }
 
-// readBody reads an answer's body. A body that is longer than maxAnswerBytes is cut off without
-// an error.
+// readBody reads an answer's body. It returns errTooLarge if that is longer than maxAnswerBytes.
 func readBody(a *dispatch.Answer) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxAnswerBytes))
-	if err != nil {
+	body, err := io.ReadAll(io.LimitReader(a.Body, maxAnswerBytes+1))
+	switch {
+	case err != nil:
 		return nil, err
+	case len(body) > maxAnswerBytes:
+		return nil, errTooLarge
 	}
 	return body, nil
 }
--- a/internal/agentless/gate/gate_test.go
+++ b/internal/agentless/gate/gate_test.go
@@ -26,8 +26,9 @@
 	delay        time.Duration // before the answer; the caller may cancel meanwhile
 	status       int
 	body         string
-	broken       bool // the body is cut off
-	unsigned     bool // the answer has no signature
+	reader       func() io.Reader // of the body; nil: body is used
+	broken       bool             // the body is cut off
+	unsigned     bool             // the answer has no signature
 	notRun       bool
 	sendErr      *upstream.SendError
 	neverAnswers bool // the endpoint never answers
@@ -68,6 +69,9 @@
 		return nil, &upstream.SendError{Sent: true, Err: ctx.Err()}
 	}
 	var body io.Reader = strings.NewReader(next.body)
+	if next.reader != nil {
+		body = next.reader()
+	}
 	if next.broken {
 		body = io.MultiReader(body, brokenReader{})
 	}
--- a/internal/agentless/gate/stream.go
+++ b/internal/agentless/gate/stream.go
@@ -218,6 +218,8 @@
 func (s *stream) plainAnswer(answer *dispatch.Answer) (Outcome, attempt, endpoints.Outcome) {
 	body, err := readBody(answer)
 	switch {
+	case errors.Is(err, errTooLarge):
+		return Outcome{}, attempt{err: err}, endpoints.Answered
 	case err == nil && !s.route.Repeatable() && promisesNotRun(answer.Status):
 		return Outcome{}, attempt{err: errUnproven}, endpoints.Answered
 	case err != nil || s.headersSent:
