node: an endpoint removed after an outage is out of use once entries are back

Cause: an entry that is deleted within 3 s of an outage stayed in use for 2 s from its deletion, although what it waits for, entries that expired in the outage and come back, ends 3 s after the outage. With the 0.3 s for which changes are gathered that is above the bound.

Ruled out: a delay of the store's watch; the requests are late by the removal delay and the gathering.

Change: the endpoint stays in use for the rest of the recovery period, never longer than before.

--- a/internal/agentless/node/topics.go
+++ b/internal/agentless/node/topics.go
@@ -25,8 +25,9 @@
 	// whose leases expired during the outage: endpoints and processes that are up register
 	// again within two seconds.
 	recoveryPeriod = 3 * time.Second
-	// removalDelay is how long an endpoint stays in use whose entry was deleted in that period.
-	removalDelay = 2 * time.Second
+	// maxRemovalDelay bounds how long an endpoint stays in use whose entry was deleted in that
+	// period. A leaving endpoint must get no more requests after two seconds.
+	maxRemovalDelay = 2 * time.Second
 )
 
 // maxContactAge is how long after the last contact with the store, direct or through a
@@ -59,9 +60,16 @@
 func (t *storeOutage) record() { t.last.Store(time.Now().UnixNano()) }
 
 // isRecent returns whether lists of the store may still lack entries because of an outage.
-func (t *storeOutage) isRecent() bool {
+func (t *storeOutage) isRecent() bool { return t.recoveryLeft(time.Now()) > 0 }
+
+// recoveryLeft returns for how much longer lists of the store may lack entries because of an
+// outage. An entry that is missing after that is gone.
+func (t *storeOutage) recoveryLeft(now time.Time) time.Duration {
 	last := t.last.Load()
-	return last != 0 && time.Since(time.Unix(0, last)) < recoveryPeriod
+	if last == 0 {
+		return 0
+	}
+	return max(0, recoveryPeriod-now.Sub(time.Unix(0, last)))
 }
 
 // storeFailed records that a call to the store failed, and logs the first failure.
@@ -390,14 +398,14 @@
 		n.directory.Remove(id) // it may still be up, but this process sends it no requests
 		return
 	}
-	afterOutage := n.outage.isRecent()
-	events.EndpointGone.Log(n.log, logrus.Fields{"endpoint": id, "revision": revision, "lingers": afterOutage})
-	if !afterOutage {
+	delay := min(n.outage.recoveryLeft(time.Now()), maxRemovalDelay)
+	events.EndpointGone.Log(n.log, logrus.Fields{"endpoint": id, "revision": revision, "lingers": delay > 0})
+	if delay == 0 {
 		n.quarantine.EndpointGone(id)
 		n.directory.Remove(id)
 		return
 	}
-	n.removals.schedule(id, removalDelay, func() { n.directory.Remove(id) })
+	n.removals.schedule(id, delay, func() { n.directory.Remove(id) })
 }
 
 // delayedRemovals holds the timers of endpoints whose entries were deleted around an outage of
--- a/internal/agentless/node/topics_test.go
+++ b/internal/agentless/node/topics_test.go
@@ -70,3 +70,55 @@
 		Expect(services).To(BeNil())
 	})
 })
+
+var _ = Describe("an endpoint whose entry is deleted", func() {
+	var n *Node
+
+	BeforeEach(func() {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		schema := StoreSchema{Endpoints: "servers/", DecodeEndpoint: func(key string, _ []byte) (deployment.Endpoint, error) {
+			return deployment.Endpoint{ID: key[len("servers/"):], Service: "app", Address: "x:1", Slots: 1}, nil
+		}}
+		settings := Settings{ID: "worker", IP: "127.0.0.1", Worker: true, ValueBytes: 1 << 20, ResultTTL: time.Minute}
+		n = New(settings, Adapter{Store: standin.NewTransactionalStore(), Schema: schema}, nil, log, metrics.NewRegistry())
+		n.endpointListed(kv.Record{Key: "servers/i-1", Revision: 1})
+	})
+	listed := func() string { return n.directory.ServiceOf("i-1") }
+	// afterOutage has the store answer again for a time.
+	afterOutage := func(since time.Duration) { n.outage.last.Store(time.Now().Add(-since).UnixNano()) }
+
+	It("is not used any more at once if the store has not failed lately", func() {
+		n.endpointDeleted("servers/i-1", 2)
+		Expect(listed()).To(BeEmpty())
+		n.endpointListed(kv.Record{Key: "servers/i-1", Revision: 3})
+		afterOutage(recoveryPeriod)
+		n.endpointDeleted("servers/i-1", 4)
+		Expect(listed()).To(BeEmpty())
+	})
+
+	// Guards against requests that reach an endpoint long after it left, only because the store was
+	// away some seconds before.
+	It("is used only until entries that expired in an outage are back", func() {
+		afterOutage(recoveryPeriod - 200*time.Millisecond)
+		n.endpointDeleted("servers/i-1", 2)
+		Expect(listed()).To(Equal("app"))
+		Eventually(listed, maxRemovalDelay-500*time.Millisecond).Should(BeEmpty())
+	})
+
+	It("stays in use if it is listed again in that time", func() {
+		afterOutage(recoveryPeriod - 200*time.Millisecond)
+		n.endpointDeleted("servers/i-1", 2)
+		n.endpointListed(kv.Record{Key: "servers/i-1", Revision: 3})
+		Consistently(listed, "500ms").Should(Equal("app"))
+	})
+
+	It("has the rest of the recovery period, and nothing after it", func() {
+		now := time.Unix(1000, 0)
+		o := storeOutage{}
+		Expect(o.recoveryLeft(now)).To(BeZero())
+		o.last.Store(now.UnixNano())
+		Expect(o.recoveryLeft(now.Add(time.Second))).To(Equal(recoveryPeriod - time.Second))
+		Expect(o.recoveryLeft(now.Add(recoveryPeriod))).To(BeZero())
+	})
+})
