node: a process that stops takes no new callers after 2.9 s

Cause: new callers were served for 0.4 of the stop timeout, 3.2 s of 8 s. The balancer, which asks once a second and removes a process after two failures, has sent its last new caller after some 2 s; what comes later on a kept connection can only lose by being taken.

Change: the time for new callers is bounded by 2.9 s. Shorter stop timeouts are unchanged.

--- a/internal/agentless/node/stop.go
+++ b/internal/agentless/node/stop.go
@@ -16,6 +16,9 @@
 	// balancerNoticeShare is the share of the stop timeout during which new callers are still
 	// served: the balancer probes once a second and removes a process after two failures.
 	balancerNoticeShare = 0.4
+	// maxBalancerNotice bounds that time. The balancer has removed the process by then; a long
+	// stream that were begun later could not end before the process does.
+	maxBalancerNotice = 2900 * time.Millisecond
 	// drainShare is the share of the stop timeout after which requests in flight are
 	// aborted; the remaining time is for closing.
 	drainShare = 0.9
@@ -36,8 +39,7 @@
 	defer cancel()
 	n.handOver(ctx)
 	if s.callers != nil {
-		noticePeriod := time.Until(start.Add(time.Duration(balancerNoticeShare * float64(limit))))
-		timer := time.NewTimer(max(0, noticePeriod))
+		timer := time.NewTimer(max(0, time.Until(start.Add(noticePeriod(limit)))))
 		defer timer.Stop()
 		<-timer.C
 		if end, limited := ctx.Deadline(); limited {
@@ -54,6 +56,11 @@
 	}
 }
 
+// noticePeriod returns for how long a process that stops within limit still serves new callers.
+func noticePeriod(limit time.Duration) time.Duration {
+	return min(time.Duration(balancerNoticeShare*float64(limit)), maxBalancerNotice)
+}
+
 // shutdown completes the requests in flight of a server until ctx ends, then closes it.
 func (n *Node) shutdown(ctx context.Context, server *http.Server) {
 	if err := server.Shutdown(ctx); err != nil {
--- a/internal/agentless/node/topics_test.go
+++ b/internal/agentless/node/topics_test.go
@@ -71,6 +71,16 @@
 	})
 })
 
+var _ = Describe("a process that stops", func() {
+	// Guards against streams that are taken so late that they are cut off at the process's end.
+	DescribeTable("serves new callers until the balancer has removed it, and not much longer",
+		func(limit, want time.Duration) { Expect(noticePeriod(limit)).To(Equal(want)) },
+		Entry("short limit", 5*time.Second, 2*time.Second),
+		Entry("usual limit", 8*time.Second, 2900*time.Millisecond),
+		Entry("long limit", time.Minute, 2900*time.Millisecond),
+	)
+})
+
 var _ = Describe("an endpoint whose entry is deleted", func() {
 	var n *Node
 
