node: a connection that can't be accepted does not end the process

What callers would see: a process that is out of file descriptors for a moment ends with all its jobs and requests, as the first failed Accept of calls between processes was returned as the error of the whole process.

Cause: only the HTTP servers retried (net/http does); the loop of net/rpc did not.

--- a/internal/agentless/node/node.go
+++ b/internal/agentless/node/node.go
@@ -363,7 +363,7 @@
 			return nil, err
 		}
 	}
-	group.Go(func() error { return serveCalls(ctx, server, inner) })
+	group.Go(func() error { return serveCalls(ctx, server, inner, n.log) })
 	if n.settings.CallerAddress != "" {
 		handler := n.adapter.Ingress(IngressDeps{Gate: n.gate, Frontend: n.frontend, Stopping: n.stopping.Load})
 		if s.callers, err = n.serveHTTP(group, n.settings.CallerAddress, handler); err != nil {
@@ -401,19 +401,3 @@
 	}
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
-
-// serveCalls serves calls between processes until ctx ends.
-func serveCalls(ctx context.Context, server *rpc.Server, listener net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
-	defer stop()
-	for {
-		conn, err := listener.Accept()
-		if ctx.Err() != nil {
-			return nil
-		}
-		if err != nil {
-			return errors.Wrap(err, "node: inner address")
-		}
-		go server.ServeConn(conn)
-	}
-}
--- a/internal/events/process.go
+++ b/internal/events/process.go
@@ -12,5 +12,6 @@
 	SettingsReloaded   = define(1007, logrus.InfoLevel, "settings reloaded")
 	SettingsUnreadable = define(1008, logrus.ErrorLevel, "settings cannot be read; the previous ones stay in force")
 	MechanismsSet      = define(1009, logrus.InfoLevel, "mechanisms in force")
+	AcceptFailed       = define(1010, logrus.WarnLevel, "connection from another process could not be accepted")
 	ProcessFailed      = define(1005, logrus.ErrorLevel, "process failed")
 )
