batchrun: the removal of an abandoned job leaves none of its owner's late results

Found by reading the change of the sweeper: an owner that is still there may write a result between the listing of an open job's keys and the transaction that removes them. The key would stay for ever, and a later job with this ID could not write its first result.

Change: an open job is marked first, which deletes its assignment and so the condition of every later result; its keys are listed after that.

Evidence: a spec in which the owner writes at that moment; it fails without the change (one key left), passes with it.

--- a/internal/agentless/batchrun/sweep.go
+++ b/internal/agentless/batchrun/sweep.go
@@ -70,16 +70,16 @@
 
 // remove deletes a job on condition that its record still has the given revision, and reports
 // whether it did. The job is either gone as a whole or still there for every reader: one
-// transaction removes it or, if it has too many keys, marks it as being removed first. If this
-// process stops in between, the next sweep removes the rest.
+// transaction removes it or, if it has too many keys or its owner may still write results, marks
+// it as being removed first. If this process stops in between, the next sweep removes the rest.
 func (s *Sweeper) remove(ctx context.Context, id string, record jobRecord, revision int64) (removed bool, err error) {
 	parts, err := s.partKeys(ctx, id)
 	if err != nil {
 		return false, err
 	}
 	const others = 3 // other entries of the transaction: the expectation, the record and the assignment
-	if len(parts) > kv.MaxTransactionEntries-others {
-		if revision, err = s.removeParts(ctx, id, record, revision, parts); err != nil || revision == 0 {
+	if !record.Ended || len(parts) > kv.MaxTransactionEntries-others {
+		if revision, err = s.removeParts(ctx, id, record, revision); err != nil || revision == 0 {
 			return false, err
 		}
 		parts = nil
@@ -104,7 +104,7 @@
 
 // removeParts marks a job as being removed and deletes its parts. It returns the revision of the
 // mark, or 0 if the job was changed meanwhile.
-func (s *Sweeper) removeParts(ctx context.Context, id string, record jobRecord, revision int64, parts []string) (int64, error) {
+func (s *Sweeper) removeParts(ctx context.Context, id string, record jobRecord, revision int64) (int64, error) {
 	if !record.Removing {
 		record.Removing = true
 		raw, err := encode(record)
@@ -121,6 +121,10 @@
 		}
 		revision = marked.Revision
 	}
+	parts, err := s.partKeys(ctx, id) // an owner writes none after the mark
+	if err != nil {
+		return 0, err
+	}
 	for chunk := range slices.Chunk(parts, kv.MaxTransactionEntries-1) {
 		if done, err := s.commit(ctx, id, revision, chunk); err != nil || !done {
 			return 0, err
--- a/internal/agentless/batchrun/sweep_test.go
+++ b/internal/agentless/batchrun/sweep_test.go
@@ -87,6 +87,13 @@
 		}
 	})
 
+	// Guards against results that stay in the store for ever, and are taken for those of a later job.
+	It("leaves no result of an abandoned job that its owner writes meanwhile", func() {
+		storeJob("old", 2*batch.AbandonedTTL, false, 1)
+		newSweeper(&writingStore{TransactionalStore: store}).sweep(ctx, now)
+		Expect(keysOf("old")).To(BeZero())
+	})
+
 	It("removes nothing of a job that changes meanwhile", func() {
 		for _, results := range []int{1, 70} {
 			store = standin.NewTransactionalStore()
@@ -142,3 +149,21 @@
 	}
 	return s.TransactionalStore.Commit(ctx, t)
 }
+
+// writingStore has the owner of the job "old" write a result before the first transaction.
+type writingStore struct {
+	kv.TransactionalStore
+	written bool
+}
+
+func (s *writingStore) Commit(ctx context.Context, t kv.Transaction) (kv.Committed, error) {
+	if !s.written {
+		s.written = true
+		assignment, err := s.Read(ctx, assignmentKey("w", "old"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.TransactionalStore.Commit(ctx, kv.Transaction{
+			Expect: []kv.Expectation{{Key: assignment.Key, Revision: assignment.Revision}}, Puts: []kv.Put{{Key: doneKey("old", 1)}},
+		})).To(HaveField("Done", true))
+	}
+	return s.TransactionalStore.Commit(ctx, t)
+}
--- a/internal/agentless/node/stop.go
+++ b/internal/agentless/node/stop.go
@@ -17,7 +17,7 @@
 	// served: the balancer probes once a second and removes a process after two failures.
 	balancerNoticeShare = 0.4
 	// maxBalancerNotice bounds that time. The balancer has removed the process by then; a long
-	// stream that were begun later could not end before the process does.
+	// stream that begins later could not end before the process does.
 	maxBalancerNotice = 2900 * time.Millisecond
 	// drainShare is the share of the stop timeout after which requests in flight are
 	// aborted; the remaining time is for closing.
