batchrun: many lost owners are moved at once, and what that costs in a large fleet

Found by counting before it was run at size: a move mostly waits for movers that precede this one, up to 26 s for the last of 38, and only eight owners were handled at once, so that the owners for which a process is the first mover waited behind the others.

Change: no limit on owners; an owner whose move is still under way is not handled a second time. Calls are bounded by the ranks, as before.

--- a/internal/agentless/batchrun/export_test.go
+++ b/internal/agentless/batchrun/export_test.go
@@ -146,3 +146,13 @@
 
 // ReportedLoad returns the sum of the loads that other owners sent.
 func ReportedLoad(o *Owner) schedule.Load { return o.loads.total(time.Now()) }
+
+// StoreJob stores a job that is assigned to an owner.
+func StoreJob(ctx context.Context, store kv.TransactionalStore, id, owner string) error {
+	t, err := acceptance(id, jobRecord{Owner: owner, Submitted: time.Now(), Total: 1}, [][]byte{{1}})
+	if err != nil {
+		return err
+	}
+	_, err = store.Commit(ctx, t)
+	return err
+}
--- a/internal/agentless/batchrun/reconcile.go
+++ b/internal/agentless/batchrun/reconcile.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -23,8 +24,6 @@
 	// reconcileRetryDelay is the delay before the jobs of an owner are moved again that are still
 	// assigned to it, for example because there is no other owner.
 	reconcileRetryDelay = 10 * time.Second
-	// maxConcurrentMoves is the limit of owners whose jobs are moved at once.
-	maxConcurrentMoves = 8
 )
 
 // Reconciler moves the jobs of owners that are not registered. A Mover does so when it sees a
@@ -48,13 +47,13 @@
 // missingOwner is an owner of jobs that is not registered.
 type missingOwner struct {
 	since  time.Time
-	nextAt time.Time // time of the next attempt to move its jobs
+	nextAt time.Time    // time of the next attempt to move its jobs
+	moving *atomic.Bool // an attempt is under way
 }
 
 // Run compares assignments with members until ctx ends.
 func (r *Reconciler) Run(ctx context.Context) error {
 	r.missing = map[string]*missingOwner{}
-	r.moves.SetLimit(maxConcurrentMoves)
 	periodic.Run(ctx, reconcileInterval, func(now time.Time) { r.reconcile(ctx, now) })
 	return r.moves.Wait()
 }
@@ -67,13 +66,14 @@
 	}
 	r.updateMissing(now)
 	for name, owner := range r.missing {
-		if now.Before(owner.nextAt) {
+		if now.Before(owner.nextAt) || !owner.moving.CompareAndSwap(false, true) {
 			continue
 		}
-		started := r.moves.TryGo(func() error { r.Mover.MemberGone(ctx, name); return nil })
-		if !started {
-			return // the rest follows in the next rounds
-		}
+		r.moves.Go(func() error {
+			defer owner.moving.Store(false)
+			r.Mover.MemberGone(ctx, name) // most of the time it waits for movers that precede this one
+			return nil
+		})
 		owner.nextAt = now.Add(reconcileRetryDelay)
 		metrics.GetOrRegisterCounter("batch.owners.missing", r.Registry).Inc(1)
 		events.OwnerMissing.Log(r.Log, logrus.Fields{"owner": name, "missing_ms": now.Sub(owner.since).Milliseconds()})
@@ -95,7 +95,7 @@
 	}
 	for name := range owners {
 		if r.missing[name] == nil {
-			r.missing[name] = &missingOwner{since: now, nextAt: now.Add(orphanGrace)}
+			r.missing[name] = &missingOwner{since: now, nextAt: now.Add(orphanGrace), moving: &atomic.Bool{}}
 		}
 	}
 }
--- a/internal/agentless/node/topics_test.go
+++ b/internal/agentless/node/topics_test.go
@@ -87,23 +87,23 @@
 	BeforeEach(func() {
 		log := logrus.New()
 		log.SetOutput(io.Discard)
-		schema := StoreSchema{Endpoints: "servers/", DecodeEndpoint: func(key string, _ []byte) (deployment.Endpoint, error) {
-			return deployment.Endpoint{ID: key[len("servers/"):], Service: "app", Address: "x:1", Slots: 1}, nil
+		schema := StoreSchema{Endpoints: "listed/", DecodeEndpoint: func(key string, _ []byte) (deployment.Endpoint, error) {
+			return deployment.Endpoint{ID: key[len("listed/"):], Service: "app", Address: "x:1", Slots: 1}, nil
 		}}
 		settings := Settings{ID: "worker", IP: "127.0.0.1", Worker: true, ValueBytes: 1 << 20, ResultTTL: time.Minute}
 		n = New(settings, Adapter{Store: standin.NewTransactionalStore(), Schema: schema}, nil, log, metrics.NewRegistry())
-		n.endpointListed(kv.Record{Key: "servers/i-1", Revision: 1})
+		n.endpointListed(kv.Record{Key: "listed/i-1", Revision: 1})
 	})
 	listed := func() string { return n.directory.ServiceOf("i-1") }
 	// afterOutage has the store answer again for a time.
 	afterOutage := func(since time.Duration) { n.outage.last.Store(time.Now().Add(-since).UnixNano()) }
 
 	It("is not used any more at once if the store has not failed lately", func() {
-		n.endpointDeleted("servers/i-1", 2)
+		n.endpointDeleted("listed/i-1", 2)
 		Expect(listed()).To(BeEmpty())
-		n.endpointListed(kv.Record{Key: "servers/i-1", Revision: 3})
+		n.endpointListed(kv.Record{Key: "listed/i-1", Revision: 3})
 		afterOutage(recoveryPeriod)
-		n.endpointDeleted("servers/i-1", 4)
+		n.endpointDeleted("listed/i-1", 4)
 		Expect(listed()).To(BeEmpty())
 	})
 
@@ -111,15 +111,15 @@
 	// away some seconds before.
 	It("is used only until entries that expired in an outage are back", func() {
 		afterOutage(recoveryPeriod - 200*time.Millisecond)
-		n.endpointDeleted("servers/i-1", 2)
+		n.endpointDeleted("listed/i-1", 2)
 		Expect(listed()).To(Equal("app"))
 		Eventually(listed, maxRemovalDelay-500*time.Millisecond).Should(BeEmpty())
 	})
 
 	It("stays in use if it is listed again in that time", func() {
 		afterOutage(recoveryPeriod - 200*time.Millisecond)
-		n.endpointDeleted("servers/i-1", 2)
-		n.endpointListed(kv.Record{Key: "servers/i-1", Revision: 3})
+		n.endpointDeleted("listed/i-1", 2)
+		n.endpointListed(kv.Record{Key: "listed/i-1", Revision: 3})
 		Consistently(listed, "500ms").Should(Equal("app"))
 	})
 
