batchrun: the specs of lost owners submit at the owner

The job was with the other process before the reconciler ran.

Cause: the spec submitted at a process that was not the owner and stopped the owner before it had answered the notification. The submitter then moves the job to a process that answers, which is right.

Ruled out: the reconciler, which was not current and had not run a round (the spec failed after 0.000 s).

What they check is unchanged.

--- a/internal/agentless/batchrun/reconcile_test.go
+++ b/internal/agentless/batchrun/reconcile_test.go
@@ -54,6 +54,17 @@
 	return store
 }
 
+// submitHeld submits a job whose texts stay unfinished at the process that becomes its owner. Another
+// process would move the job if the owner were stopped before it has answered the notification.
+func submitHeld(llm *engines, a, b *process) (owner, other *process) {
+	llm.hold = make(chan struct{})
+	EventuallyWithOffset(1, func() int { return len(b.members.Live()) }).WithTimeout(eventuallyTimeout).Should(Equal(2))
+	ExpectWithOffset(1, b.frontend.Submit(context.Background(), spec("j", 2))).To(Succeed())
+	owner, other = ownerAndOther(a, b, "j")
+	ExpectWithOffset(1, owner).To(BeIdenticalTo(b))
+	return owner, other
+}
+
 var always = func() bool { return true }
 
 var _ = Describe("a batch job whose owner is lost", func() {
@@ -76,24 +87,19 @@
 	})
 
 	It("stays with an owner that is registered, and costs no call", func() {
-		store, llm, a, b := startPair()
-		llm.hold = make(chan struct{})
-		Expect(a.frontend.Submit(context.Background(), spec("j", 2))).To(Succeed())
-		owner, other := ownerAndOther(a, b, "j")
+		_, llm, a, b := startPair()
+		owner, other := submitHeld(llm, a, b)
 		calls := startReconciler(other, always)
 		Consistently(other.owner.Jobs).WithTimeout(5 * time.Second).ShouldNot(HaveKey("j"))
 		Expect(owner.owner.Jobs()).To(HaveKey("j"))
 		Expect(calls.pages.Load() + calls.commits.Load()).To(BeZero())
 		close(llm.hold)
 		Eventually(results(other, "j")).WithTimeout(eventuallyTimeout).Should(Equal(2))
-		_ = store
 	})
 
 	It("stays with an owner that is back within the grace period", func() {
 		store, llm, a, b := startPair()
-		llm.hold = make(chan struct{})
-		Expect(a.frontend.Submit(context.Background(), spec("j", 2))).To(Succeed())
-		owner, other := ownerAndOther(a, b, "j")
+		owner, other := submitHeld(llm, a, b)
 		owner.stop()
 		store.Revoke("live/members/" + owner.name)
 		calls := startReconciler(other, always)
@@ -109,9 +115,7 @@
 
 	It("is not moved while the members or assignments may be outdated", func() {
 		store, llm, a, b := startPair()
-		llm.hold = make(chan struct{})
-		Expect(a.frontend.Submit(context.Background(), spec("j", 2))).To(Succeed())
-		owner, other := ownerAndOther(a, b, "j")
+		owner, other := submitHeld(llm, a, b)
 		owner.stop()
 		store.Revoke("live/members/" + owner.name)
 		var current atomic.Bool
