Log how old the declaration is by which a request is denied, and gaps in its confirmation

The log could not tell whether a process that denies a request by an old declaration had had no contact for long (hypothesis 1), had contact without data (2), or missed a version for good (3). Topics keep the time of the store's state that they are known to include; 2001 has it as declaration_age_ms, 2223 and the counter declaration.gaps tell of gaps longer than the operator's bound. No decision changes. Connections between processes can be replaced in tests (Adapter.DialPeer), for a fleet in virtual time.

--- a/internal/agentless/cluster/follow.go
+++ b/internal/agentless/cluster/follow.go
@@ -129,6 +129,7 @@
 	}
 	asOf = max(asOf, changes.AsOf)
 	f.Topic.advance(asOf)
+	f.Topic.confirm(time.Now())
 	return asOf, f.coalesceDelay(changes.Changes), nil
 }
 
@@ -152,6 +153,7 @@
 		return 0, err
 	}
 	f.Topic.applyListing(page)
+	f.Topic.confirm(time.Now())
 	return page.AsOf, nil
 }
 
--- a/internal/agentless/cluster/subscribe.go
+++ b/internal/agentless/cluster/subscribe.go
@@ -175,6 +175,7 @@
 			page, err := kv.ReadAll(ctx, s.Store, topic.Prefix)
 			if err == nil {
 				topic.applyListing(page)
+				topic.confirm(time.Now())
 			}
 			return err
 		})
@@ -379,6 +380,7 @@
 			topic.advance(update.AsOf)
 		}
 		s.receivedScopes[topic] = scopes
+		topic.confirm(now.Add(-update.Age))
 		if s.Role == fanout.Relay {
 			topic.Relay.MarkSynced(topic.Prefix, update.AsOf, now.Add(-update.Age))
 		}
--- a/internal/agentless/cluster/topic.go
+++ b/internal/agentless/cluster/topic.go
@@ -4,6 +4,7 @@
 	"maps"
 	"strings"
 	"sync"
+	"time"
 
 	"siskinloom.example/siskinloom/internal/kv"
 )
@@ -34,6 +35,9 @@
 	// Urgent reports whether further changes are likely soon after one of the key and must
 	// not wait for Follower.CoalesceDelay; it may be nil.
 	Urgent func(key string) bool
+	// Confirmed is called when the topic is known to include all changes that the store had at a
+	// time, with the previous such time, zero for none. It may be nil.
+	Confirmed func(at, previous time.Time)
 	// Relay receives all changes, to serve them to other processes; it may be nil.
 	Relay *Relay
 	// SubTopic receives the changes under its own prefix, which must be within this
@@ -44,6 +48,8 @@
 	revisions  map[string]int64 // by key
 	tombstones map[string]tombstone
 	asOf       int64 // all changes up to it were applied; 0: unknown
+
+	confirmedAt time.Time // the topic includes all changes that the store had then; zero: never
 }
 
 // tombstone records the deletion of a key.
@@ -90,6 +96,28 @@
 	return t.asOf
 }
 
+// confirm records that the topic includes all changes that the store had at a time.
+func (t *Topic) confirm(at time.Time) {
+	t.mu.Lock()
+	previous := t.confirmedAt
+	later := at.After(previous)
+	if later {
+		t.confirmedAt = at
+	}
+	t.mu.Unlock()
+	if later && t.Confirmed != nil {
+		t.Confirmed(at, previous)
+	}
+}
+
+// ConfirmedAt returns the latest time of which the topic is known to include all changes that the
+// store had then. It is zero if there is none.
+func (t *Topic) ConfirmedAt() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.confirmedAt
+}
+
 // HasKeys reports whether a key with the prefix exists.
 func (t *Topic) HasKeys(prefix string) bool {
 	t.mu.Lock()
--- a/internal/agentless/gate/gate.go
+++ b/internal/agentless/gate/gate.go
@@ -117,7 +117,10 @@
 	// Current returns whether the declaration in force in this process may be the newest one;
 	// nil: always.
 	Current func() bool
-	Shares  Shares // limits this process's requests to each service; nil: only by what it learns itself
+	// DeclarationAge returns how long ago the declaration in force in this process was known to be
+	// the newest one, for the log; nil: not known.
+	DeclarationAge func() time.Duration
+	Shares         Shares // limits this process's requests to each service; nil: only by what it learns itself
 
 	directory *directory.Directory
 	sender    dispatch.Sender
@@ -278,7 +281,11 @@
 	if table := g.directory.Table(); table != nil {
 		version = table.Declaration.Version
 	}
-	events.RequestRefused.Log(g.log, logrus.Fields{"request": id, "host": host, "path": path, "end": endNames[end], "declaration": version})
+	fields := logrus.Fields{"request": id, "host": host, "path": path, "end": endNames[end], "declaration": version}
+	if g.DeclarationAge != nil {
+		fields["declaration_age_ms"] = g.DeclarationAge().Milliseconds()
+	}
+	events.RequestRefused.Log(g.log, fields)
 }
 
 // refusal returns the outcome of a request that certainly did not run. The caller should
--- a/internal/agentless/node/node.go
+++ b/internal/agentless/node/node.go
@@ -85,8 +85,10 @@
 	Ingress func(IngressDeps) http.Handler
 	// CloseIdle closes idle connections to the address of an endpoint that was removed.
 	CloseIdle func(address string)
-	Meter     *netcount.Meter // counts the bytes of connections; may be nil
-	Schema    StoreSchema
+	// DialPeer opens a connection to another process of the system; nil: over TCP.
+	DialPeer rpcpool.DialFunc
+	Meter    *netcount.Meter // counts the bytes of connections; may be nil
+	Schema   StoreSchema
 }
 
 // StoreSchema names the keys of the store that other programs write or read, and the codecs of
@@ -153,6 +155,7 @@
 	shares     *sharerun.Runner
 	outage     storeOutage
 	contact    contactTime
+	operator   *cluster.Topic // what the operator and the trainers write
 
 	removals       delayedRemovals
 	registration   fanout.Registration // only the registrar's goroutine uses it
@@ -174,8 +177,12 @@
 	if a.Meter != nil {
 		a.Meter.SetDomainLookup(n.domainOf)
 	}
+	dial := netdial.Dial
+	if a.DialPeer != nil {
+		dial = a.DialPeer
+	}
 	peers := rpcpool.New(func(ctx context.Context, address string) (net.Conn, error) {
-		conn, err := netdial.Dial(ctx, address)
+		conn, err := dial(ctx, address)
 		if err != nil {
 			return nil, err
 		}
@@ -197,6 +204,8 @@
 	n.mover = &batchrun.Mover{Self: s.ID, Store: a.Store, Members: n.members, Log: log, StoreRecentlyDown: n.outage.isRecent, Answers: n.frontend.Answers, Models: n.directory.Models, NotifyOwner: n.frontend.NotifyMoved}
 	n.gate = gate.New(n.directory, a.Sender, log, registry)
 	n.gate.Switches, n.gate.Quarantine, n.gate.Current = switches, n.quarantine, n.contact.isCurrent
+	n.operator = &cluster.Topic{Prefix: a.Schema.Operator, Deleted: func(string, int64) {}, Confirmed: n.declarationConfirmed}
+	n.gate.DeclarationAge = func() time.Duration { return time.Since(n.operator.ConfirmedAt()) }
 	n.addUsage(self, peers)
 	n.shares = n.newShares(self, peers, switches)
 	if s.Worker {
--- a/internal/agentless/node/topics.go
+++ b/internal/agentless/node/topics.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
@@ -109,7 +110,8 @@
 // the store, and the other processes from roots or relays.
 func (n *Node) follow(ctx context.Context, group *errgroup.Group) {
 	schema := n.adapter.Schema
-	operator := &cluster.Topic{Prefix: schema.Operator, Changed: func(r kv.Record) { n.operatorKeyChanged(ctx, group, r) }, Deleted: func(string, int64) {}}
+	operator := n.operator
+	operator.Changed = func(r kv.Record) { n.operatorKeyChanged(ctx, group, r) }
 	endpoints := &cluster.Topic{Prefix: schema.Endpoints, Changed: n.endpointListed, Deleted: n.endpointDeleted, Listed: n.endpointsSynced}
 	members := n.registrar.Topic()
 	if n.settings.Worker {
@@ -296,6 +298,16 @@
 	events.FleetSourceChanged.Log(n.log, fields)
 }
 
+// declarationConfirmed logs that the declaration is confirmed again after a time in which it might
+// have been outdated for longer than the operator allows.
+func (n *Node) declarationConfirmed(at, previous time.Time) {
+	bound := n.settings.ApplyBound
+	if gap := at.Sub(previous); bound > 0 && !previous.IsZero() && gap > bound {
+		metrics.GetOrRegisterCounter("declaration.gaps", n.registry).Inc(1)
+		events.DeclarationGap.Log(n.log, logrus.Fields{"gap_ms": gap.Milliseconds()})
+	}
+}
+
 // operatorKeyChanged handles an entry that the operator or a trainer wrote.
 func (n *Node) operatorKeyChanged(ctx context.Context, group *errgroup.Group, r kv.Record) {
 	schema := n.adapter.Schema
--- a/internal/events/fleet.go
+++ b/internal/events/fleet.go
@@ -77,6 +77,7 @@
 	FanoutRoleChanged     = define(2220, logrus.InfoLevel, "role in the distribution of fleet changes selected")
 	TreeNotPublished      = define(2221, logrus.WarnLevel, "tree of roots and relays could not be published")
 	ListChangesCounted    = define(2222, logrus.InfoLevel, "further changes of the lists of endpoints and processes, counted by kind")
+	DeclarationGap        = define(2223, logrus.WarnLevel, "declaration is confirmed again, after longer than the time in which it must be in force")
 	RetireDone            = define(2213, logrus.InfoLevel, "this machine can be retired")
 )
 
