cluster, crashfeed: processes that start in the same instant are told apart

What callers saw: an entry answers by an old declaration until the next change, however long that takes, while it is in contact and counts as current.

Cause: a follower tells a relay its position, the relay's run and the number of the last change that it has from it. The run was the time of its start. Two workers that start in the same nanosecond are one run to a follower that changes from one to the other, and the second one leaves out the changes up to that number, which it numbered otherwise.

Class: an identity taken from a clock. Change: a random run for the relay, and for the feed of crash reports, which had the same. Looked for elsewhere: the usage ledger compares the times of starts of one process only, and uses them as times; leases, fences and positions in the store are numbers of the store.

--- a/internal/agentless/cluster/relay.go
+++ b/internal/agentless/cluster/relay.go
@@ -36,8 +36,9 @@
 	extraTTL time.Duration // how much older than a root's data this process's may be
 }
 
-// NewRelay returns a Relay without topics. boot identifies this run of the process,
-// which numbers the changes.
+// NewRelay returns a Relay without topics. boot identifies this run of the process, which numbers
+// the changes. It must differ from that of every other process: those that start together after a
+// restart of all may do so in the same instant, so that a time does not suffice.
 func NewRelay(boot int64) *Relay {
 	return &Relay{topics: changefeed.NewTopics[kv.Change](boot), scopes: map[string]func(kv.Record) string{}, wake: make(chan struct{})}
 }
--- a/internal/agentless/crashfeed/crashfeed.go
+++ b/internal/agentless/crashfeed/crashfeed.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -79,6 +80,7 @@
 
 // New returns a Feed without reports.
 func New(c Config) *Feed {
+	run := rand.Int64() // processes may start in the same instant
 	return &Feed{
 		Config:      c,
 		unusedLines: rate.NewLimiter(rate.Every(unusedLineInterval), unusedLineBurst),
@@ -86,8 +88,8 @@
 		received:    metrics.GetOrRegisterCounter("crashfeed.received", c.Registry),
 		unused:      metrics.GetOrRegisterCounter("crashfeed.unused", c.Registry),
 		failed:      metrics.GetOrRegisterCounter("crashfeed.failed", c.Registry),
-		known:       policy.NewLog[quarantine.Report](c.Self.Boot, maxEntries),
-		pending:     policy.NewLog[quarantine.Report](c.Self.Boot, maxEntries),
+		known:       policy.NewLog[quarantine.Report](run, maxEntries),
+		pending:     policy.NewLog[quarantine.Report](run, maxEntries),
 		changed:     make(chan struct{}),
 	}
 }
--- a/internal/agentless/node/config_test.go
+++ b/internal/agentless/node/config_test.go
@@ -249,3 +249,34 @@
 		}
 	})
 }
+
+// Guards against a version that an entry never gets, as it goes on at another worker that numbers its
+// changes otherwise and seems to be the same one.
+func TestWorkersThatStartInTheSameInstantAreToldApart(t *testing.T) {
+	_ = metrics.NewMeter()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(applyBound)
+		defer f.stopAll()
+		o := &operator{store: f.store}
+		o.declare()
+		near, far := f.start("worker-0", true, true), f.start("worker-1", true, true)
+		entry := f.start("entry-0", false, true)
+		time.Sleep(5 * time.Second)
+		f.cut(far.name, true)
+		far.link.set(linkRefused)
+		for range 10 {
+			o.declare()
+			time.Sleep(100 * time.Millisecond)
+		}
+		f.store.DropHistory() // so that the far worker lists the declaration as one change
+		far.link.set(linkUp)
+		f.cut(far.name, false)
+		time.Sleep(5 * time.Second)
+		f.cut(near.name, true)
+		o.declare()
+		time.Sleep(2 * applyBound)
+		if entry.version() != o.version {
+			t.Errorf("version %d is in force although %d was confirmed %v ago", entry.version(), o.version, 2*applyBound)
+		}
+	})
+}
--- a/internal/agentless/node/node.go
+++ b/internal/agentless/node/node.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/rpc"
@@ -230,7 +231,7 @@
 		modelrun.SendFast(context.Background(), n.members, peers, keyDuty, fast)
 	}
 	if s.Worker {
-		n.relay = cluster.NewRelay(self.Boot)
+		n.relay = cluster.NewRelay(rand.Int64())
 		n.leader = cluster.NewLeader(a.Store, keyDuty, s.ID, s.LeaseTTL, s.MinTTL, n.isRoot, n.leaderChanged)
 		n.registrar.DutyVacant = func(string) { n.leader.TryNow() }
 		loading := func(endpoint, model string, version int64) {
