node, cluster: a request is denied only by a declaration that is known to be recent

Cause: a process denied requests for 3 s after the arrival of the last answer, whatever that answer knew. A relay's answer may be 1.3 s old, a held up answer older, and a round at the store counted as contact at its end. Callers are promised 2 s. Class: the arrival of a message taken for the age of what it says.

Change: topics know the moment of which they are certainly complete, and relays tell its age. Only a declaration confirmed within the operator's bound denies; if that is not known when a request would be denied, the store is asked once, by a call that requests share, and the request is decided again by what is known then. 503 with Retry-After if the store does not answer.

--- a/internal/agentless/cluster/follow.go
+++ b/internal/agentless/cluster/follow.go
@@ -108,6 +108,16 @@
 	return err
 }
 
+// Confirm brings the topic up to date with the store by one call that does not wait for changes, or
+// by a listing if the store no longer has the history that the topic lacks.
+func (f *Follower) Confirm(ctx context.Context) error {
+	_, _, err := f.step(ctx, f.Topic.AsOf(), 0)
+	if errors.Is(err, kv.ErrHistoryGone) {
+		_, err = f.list(ctx)
+	}
+	return err
+}
+
 // step makes one call to the store: a listing if asOf is 0, otherwise a watch. It
 // returns the revision that the topic has reached, and the delay before the next call. If
 // the topic is idle, it only pauses.
@@ -120,6 +130,7 @@
 		next, err = f.list(ctx)
 		return next, 0, err
 	}
+	began := time.Now()
 	changes, err := f.Store.Await(ctx, f.Topic.Prefix, asOf, wait)
 	if err != nil {
 		return 0, 0, err
@@ -129,7 +140,9 @@
 	}
 	asOf = max(asOf, changes.AsOf)
 	f.Topic.advance(asOf)
-	f.Topic.confirm(time.Now())
+	// A store whose watches get no notifications for a moment ends them without changes, too. Only
+	// what it looked up at the beginning of the call is certain.
+	f.Topic.confirm(began)
 	return asOf, f.coalesceDelay(changes.Changes), nil
 }
 
@@ -148,12 +161,13 @@
 
 // list applies a listing of the prefix and returns its revision.
 func (f *Follower) list(ctx context.Context) (int64, error) {
+	began := time.Now()
 	page, err := kv.ReadAll(ctx, f.Store, f.Topic.Prefix)
 	if err != nil {
 		return 0, err
 	}
 	f.Topic.applyListing(page)
-	f.Topic.confirm(time.Now())
+	f.Topic.confirm(began)
 	return page.AsOf, nil
 }
 
--- a/internal/agentless/cluster/relay.go
+++ b/internal/agentless/cluster/relay.go
@@ -10,6 +10,7 @@
 	"siskinloom.example/siskinloom/internal/kv"
 	"siskinloom.example/siskinloom/internal/policy/changefeed"
 	"siskinloom.example/siskinloom/internal/policy/fanout"
+	"siskinloom.example/siskinloom/internal/policy/freshness"
 )
 
 // Names of the net/rpc service and its method, which are sent.
@@ -34,13 +35,15 @@
 	wake     chan struct{}
 	starting bool          // calls wait for the first complete listing
 	extraTTL time.Duration // how much older than a root's data this process's may be
+	// confirmed holds, by topic, the moment of which the data is known to include all changes.
+	confirmed map[string]time.Time
 }
 
 // NewRelay returns a Relay without topics. boot identifies this run of the process, which numbers
 // the changes. It must differ from that of every other process: those that start together after a
 // restart of all may do so in the same instant, so that a time does not suffice.
 func NewRelay(boot int64) *Relay {
-	return &Relay{topics: changefeed.NewTopics[kv.Change](boot), scopes: map[string]func(kv.Record) string{}, wake: make(chan struct{})}
+	return &Relay{topics: changefeed.NewTopics[kv.Change](boot), scopes: map[string]func(kv.Record) string{}, confirmed: map[string]time.Time{}, wake: make(chan struct{})}
 }
 
 // AddTopic adds a topic. watchTimeout is the timeout of the topic's watch calls, and
@@ -99,6 +102,23 @@
 	}
 }
 
+// markConfirmed records that a topic includes all changes that the store had at a time.
+func (r *Relay) markConfirmed(prefix string, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.confirmed[prefix] = at
+}
+
+// confirmedAge returns the time since the moment of which a topic is known to include all changes, 0
+// if there is none. mu must be held.
+func (r *Relay) confirmedAge(now time.Time, prefix string) time.Duration {
+	at, found := r.confirmed[prefix]
+	if !found {
+		return 0
+	}
+	return max(freshness.Age(now, at), 1)
+}
+
 // NewsArgs requests the changes since an earlier answer. encoding/gob sends the type's
 // name.
 type NewsArgs struct {
@@ -123,6 +143,19 @@
 	Changes []kv.Change
 	Stands  []string      // if Full: existing keys that have not changed since the follower's revision
 	Age     time.Duration // time since the store's last answer about the topic
+	// ConfirmedAge is the time since the moment of which the data is known to include all changes.
+	// 0 means that it is not known; processes of older releases don't send it.
+	ConfirmedAge time.Duration
+}
+
+// hasChanges reports whether the answer changes any topic.
+func (r *NewsReply) hasChanges() bool {
+	for _, update := range r.Topics {
+		if update.Full || len(update.Changes) > 0 {
+			return true
+		}
+	}
+	return false
 }
 
 // Register registers the net/rpc service that serves the relay's topics.
@@ -180,6 +213,7 @@
 		update := topic.Since(args.Position, interest)
 		reply.Topics[interest.Prefix] = TopicNews{
 			Full: update.Full, AsOf: update.AsOf, Changes: update.Changes, Stands: update.Stands, Age: topic.Age(now),
+			ConfirmedAge: r.confirmedAge(now, interest.Prefix),
 		}
 		changed = changed || update.Full || len(update.Changes) > 0
 	}
--- a/internal/agentless/cluster/subscribe.go
+++ b/internal/agentless/cluster/subscribe.go
@@ -13,6 +13,7 @@
 	"siskinloom.example/siskinloom/internal/kv"
 	"siskinloom.example/siskinloom/internal/policy/changefeed"
 	"siskinloom.example/siskinloom/internal/policy/fanout"
+	"siskinloom.example/siskinloom/internal/policy/freshness"
 	"siskinloom.example/siskinloom/internal/policy/rendezvous"
 	"siskinloom.example/siskinloom/internal/rpcpool"
 )
@@ -172,11 +173,7 @@
 			continue
 		}
 		group.Go(func() error {
-			page, err := kv.ReadAll(ctx, s.Store, topic.Prefix)
-			if err == nil {
-				topic.applyListing(page)
-				topic.confirm(time.Now())
-			}
+			_, err := (&Follower{Store: s.Store, Topic: topic}).list(ctx)
 			return err
 		})
 	}
@@ -272,6 +269,7 @@
 // cannot go on as a source.
 func (s *Subscriber) update(ctx context.Context, source Member, wait time.Duration) (fanout.Outcome, error) {
 	interests, asked := s.interests()
+	began := time.Now()
 	reply, err := s.requestUpdates(ctx, source.Address, NewsArgs{Position: s.position, Interests: interests, Wait: wait})
 	switch {
 	case err != nil:
@@ -284,7 +282,7 @@
 		return fanout.Unreachable, errBadReply
 	}
 	s.setSource(source.Name)
-	s.apply(reply, asked)
+	s.apply(reply, asked, freshness.ConfirmedSince(began, time.Now(), wait, reply.hasChanges()))
 	s.position = reply.Position
 	if s.SyncedFromRelay != nil {
 		s.SyncedFromRelay()
@@ -359,8 +357,9 @@
 	return reply, nil
 }
 
-// apply applies a relay's answer to the topics that were requested.
-func (s *Subscriber) apply(reply NewsReply, asked map[*Topic][]string) {
+// apply applies a relay's answer to the topics that were requested. The relay gave it at the moment
+// answered or later.
+func (s *Subscriber) apply(reply NewsReply, asked map[*Topic][]string, answered time.Time) {
 	if s.receivedScopes == nil {
 		s.receivedScopes = map[*Topic][]string{}
 	}
@@ -380,7 +379,9 @@
 			topic.advance(update.AsOf)
 		}
 		s.receivedScopes[topic] = scopes
-		topic.confirm(now.Add(-update.Age))
+		if update.ConfirmedAge > 0 {
+			topic.confirm(answered.Add(-update.ConfirmedAge))
+		}
 		if s.Role == fanout.Relay {
 			topic.Relay.MarkSynced(topic.Prefix, update.AsOf, now.Add(-update.Age))
 		}
--- a/internal/agentless/cluster/topic.go
+++ b/internal/agentless/cluster/topic.go
@@ -105,7 +105,13 @@
 		t.confirmedAt = at
 	}
 	t.mu.Unlock()
-	if later && t.Confirmed != nil {
+	if !later {
+		return
+	}
+	if t.Relay != nil {
+		t.Relay.markConfirmed(t.Prefix, at)
+	}
+	if t.Confirmed != nil {
 		t.Confirmed(at, previous)
 	}
 }
--- a/internal/agentless/gate/gate.go
+++ b/internal/agentless/gate/gate.go
@@ -114,9 +114,10 @@
 	Switches   *mechanism.Switches    // set before first use; may be nil
 	Quarantine *quarantine.Quarantine // refuses requests under which endpoints end; nil: none is refused
 	Usage      *usagerun.Counter      // counts the requests that endpoints started to run; nil: not counted
-	// Current returns whether the declaration in force in this process may be the newest one;
-	// nil: always.
-	Current func() bool
+	// Confirm returns whether the declaration in force in this process is known to be the newest one
+	// of a moment that lies no longer back than a declaration may take to be in force. It may ask the
+	// store. nil: always.
+	Confirm func(context.Context) bool
 	// DeclarationAge returns how long ago the declaration in force in this process was known to be
 	// the newest one, for the log; nil: not known.
 	DeclarationAge func() time.Duration
@@ -262,15 +263,15 @@
 	events.RequestMalformed.Log(g.log, logrus.Fields{"request": id, "status": status, "error": why})
 }
 
-// Deny returns the outcome of a request that the declaration in force in this process
-// doesn't allow: end is NoRoute or Unauthorized. A process without recent contact to the
-// store may lack the newest routes and keys, and the caller would take the denial as final.
-// Such a process answers NotReady instead, and the retry can reach an up-to-date process.
-func (g *Gate) Deny(end End) Outcome {
-	if g.Current != nil && !g.Current() {
-		return NotReadyOutcome()
+// ConfirmedTable returns the routes in force once they are known to be recent enough to deny a
+// request, or nil if that is not known. A process without recent contact to the store may lack the
+// newest routes and keys, and a caller takes a denial as final. It gets NotReadyOutcome instead, and
+// its retry can reach an up-to-date process.
+func (g *Gate) ConfirmedTable(ctx context.Context) *routes.Table {
+	if g.Confirm != nil && !g.Confirm(ctx) {
+		return nil
 	}
-	return Outcome{End: end}
+	return g.directory.Table()
 }
 
 // LogRejected logs and counts a request that ends before it is served: end is NoRoute, NotReady
--- a/internal/agentless/node/node.go
+++ b/internal/agentless/node/node.go
@@ -157,6 +157,7 @@
 	outage     storeOutage
 	contact    contactTime
 	operator   *cluster.Topic // what the operator and the trainers write
+	confirmer  declarationConfirmer
 
 	removals       delayedRemovals
 	registration   fanout.Registration // only the registrar's goroutine uses it
@@ -204,9 +205,9 @@
 	n.frontend = &batchrun.Frontend{Store: a.Store, Members: n.members, Peers: peers, Local: n.owner, Log: log, ValueBytes: s.ValueBytes, Models: n.directory.Models, Domain: s.FailureDomain, IsHub: s.Worker, Unreachable: n.store.Unreachable}
 	n.mover = &batchrun.Mover{Self: s.ID, Store: a.Store, Members: n.members, Log: log, StoreRecentlyDown: n.outage.isRecent, Answers: n.frontend.Answers, Models: n.directory.Models, NotifyOwner: n.frontend.NotifyMoved}
 	n.gate = gate.New(n.directory, a.Sender, log, registry)
-	n.gate.Switches, n.gate.Quarantine, n.gate.Current = switches, n.quarantine, n.contact.isCurrent
+	n.gate.Switches, n.gate.Quarantine = switches, n.quarantine
 	n.operator = &cluster.Topic{Prefix: a.Schema.Operator, Deleted: func(string, int64) {}, Confirmed: n.declarationConfirmed}
-	n.gate.DeclarationAge = func() time.Duration { return time.Since(n.operator.ConfirmedAt()) }
+	n.gate.Confirm, n.gate.DeclarationAge = n.confirmDeclaration, n.declarationAge
 	n.addUsage(self, peers)
 	n.shares = n.newShares(self, peers, switches)
 	if s.Worker {
--- a/internal/agentless/node/topics.go
+++ b/internal/agentless/node/topics.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
@@ -18,7 +17,6 @@
 	"siskinloom.example/siskinloom/internal/events"
 	"siskinloom.example/siskinloom/internal/kv"
 	"siskinloom.example/siskinloom/internal/policy/fanout"
-	"siskinloom.example/siskinloom/internal/policy/routes"
 )
 
 const (
@@ -32,7 +30,7 @@
 )
 
 // maxContactAge is how long after the last contact with the store, direct or through a
-// relay, this process's declaration may count as the newest. Relays answer every second. If a
+// relay, this process's lists may count as current. Relays answer every second. If a
 // call goes unanswered, its timeout and the answer of the next relay take about another second
 // each.
 const maxContactAge = 3 * time.Second
@@ -298,16 +296,6 @@
 	events.FleetSourceChanged.Log(n.log, fields)
 }
 
-// declarationConfirmed logs that the declaration is confirmed again after a time in which it might
-// have been outdated for longer than the operator allows.
-func (n *Node) declarationConfirmed(at, previous time.Time) {
-	bound := n.settings.ApplyBound
-	if gap := at.Sub(previous); bound > 0 && !previous.IsZero() && gap > bound {
-		metrics.GetOrRegisterCounter("declaration.gaps", n.registry).Inc(1)
-		events.DeclarationGap.Log(n.log, logrus.Fields{"gap_ms": gap.Milliseconds()})
-	}
-}
-
 // operatorKeyChanged handles an entry that the operator or a trainer wrote.
 func (n *Node) operatorKeyChanged(ctx context.Context, group *errgroup.Group, r kv.Record) {
 	schema := n.adapter.Schema
@@ -321,36 +309,6 @@
 	}
 }
 
-// applyDeclaration puts a declaration in force, unless it is invalid or not newer.
-func (n *Node) applyDeclaration(r kv.Record) {
-	declaration, err := n.adapter.Schema.DecodeDeclaration(r.Value)
-	if err != nil {
-		events.DeclarationUnreadable.Log(n.log, logrus.Fields{"revision": r.Revision, "error": err.Error()})
-		return
-	}
-	before, inForce := n.directory.Declare(declaration)
-	if !inForce {
-		return
-	}
-	events.DeclarationInForce.Log(n.log, logrus.Fields{
-		"version": declaration.Version, "revision": r.Revision, "routes": len(declaration.Routes), "customers": len(declaration.Customers),
-	})
-	if before != nil {
-		n.logKeyChanges(before.Declaration, declaration)
-	}
-}
-
-// maxLoggedKeyChanges is the limit of log lines about key changes per declaration.
-const maxLoggedKeyChanges = 50
-
-// logKeyChanges logs the customers whose API keys a declaration adds or removes.
-func (n *Node) logKeyChanges(before, after *deployment.Declaration) {
-	changes := routes.KeyChanges(before, after)
-	for _, c := range changes[:min(len(changes), maxLoggedKeyChanges)] {
-		events.KeysChanged.Log(n.log, logrus.Fields{"customer": c.Customer, "added": c.Added, "removed": c.Removed, "version": after.Version, "customers": len(changes)})
-	}
-}
-
 // versionAnnounced passes a weight version that a trainer announced to the sender of orders.
 func (n *Node) versionAnnounced(r kv.Record) {
 	if n.models == nil {
--- a/internal/events/fleet.go
+++ b/internal/events/fleet.go
@@ -78,7 +78,9 @@
 	TreeNotPublished      = define(2221, logrus.WarnLevel, "tree of roots and relays could not be published")
 	ListChangesCounted    = define(2222, logrus.InfoLevel, "further changes of the lists of endpoints and processes, counted by kind")
 	DeclarationGap        = define(2223, logrus.WarnLevel, "declaration is confirmed again, after longer than the time in which it must be in force")
-	RetireDone            = define(2213, logrus.InfoLevel, "this machine can be retired")
+	// A request that no known route or key allows was answered as not run.
+	DeclarationUnconfirmed = define(2224, logrus.WarnLevel, "store could not be asked whether the declaration is the newest one")
+	RetireDone             = define(2213, logrus.InfoLevel, "this machine can be retired")
 )
 
 // Events of weight orders: 2300 to 2399.
