cluster: a process without a source follows the store, and looks for a source beside

Cause: a process whose sources were silent went round: each source for the timeout of a call (0.5 s, 2 s if a list is needed in full, 1 s for a connection), then one call per topic to the store, of which that for the declaration ends at once when there is a change, and the next round begins after the slowest. Class: freshness of one thing that hangs on the timeouts of others, in series.

Change: in a small fleet such a process follows each topic in the store by itself until a source serves again, and asks the sources meanwhile. Processes that start do so as well, but when the whole system starts for the first time. In fleets with relays, whose store can't serve all processes, the rounds and their budget stay. A topic that is reset while it is followed is listed again by its follower.

The lab's model of the fleet follows the new action.

--- a/internal/agentless/cluster/follow.go
+++ b/internal/agentless/cluster/follow.go
@@ -65,17 +65,15 @@
 	failing bool
 }
 
-// Run watches the prefix until ctx is done.
+// Run watches the prefix until ctx is done. It lists the topic again when that is reset.
 func (f *Follower) Run(ctx context.Context) error {
 	backoff := initialBackoff
-	asOf := f.Topic.AsOf()
 	wait := time.Duration(0)    // the first call shows whether the store answers at all
 	var historyLostAt time.Time // when the store last lacked the history that a watch needed
 	for ctx.Err() == nil {
-		next, delay, err := f.step(ctx, asOf, wait)
+		asOf, delay, err := f.step(ctx, f.Topic.AsOf(), wait)
 		if err == nil {
 			wait = max(f.WatchTimeout, minWatchTimeout)
-			asOf = next
 			backoff = initialBackoff
 			f.succeeded(asOf)
 			sleep(ctx, delay)
@@ -83,7 +81,7 @@
 		}
 		wait = 0 // a recovered store is noticed by its first answer, not at the end of a watch
 		if errors.Is(err, kv.ErrHistoryGone) {
-			asOf = 0
+			f.Topic.reset()
 			sleep(ctx, relistInterval-time.Since(historyLostAt))
 			historyLostAt = time.Now()
 			continue
--- a/internal/agentless/cluster/subscribe.go
+++ b/internal/agentless/cluster/subscribe.go
@@ -78,6 +78,7 @@
 	sourceErr      error               // why the last source was left
 	follower       fanout.Follower
 	sources        []Member // of the current pass of the follower
+	stopDirect     func()   // ends the following of the store; nil if no source is missing
 }
 
 // Start learns the tree. Topics must include that of the members. Run must follow.
@@ -115,7 +116,8 @@
 func (s *Subscriber) Run(ctx context.Context) error {
 	s.position = changefeed.Position{} // the topics may differ from those of an earlier Run
 	s.listAtStart(ctx)
-	s.follower = fanout.Follower{Role: s.Role, Random: rand.Float64}
+	s.follower = fanout.Follower{Role: s.Role, Random: rand.Float64, FirstStart: s.FirstStart}
+	defer s.endDirect()
 	if s.InitialSyncDone {
 		s.follower.SetSynced()
 	}
@@ -126,6 +128,9 @@
 			s.askSource(ctx, action.Wait)
 		case fanout.AskStore:
 			s.fromStore(ctx)
+		case fanout.FollowStore:
+			s.followStore(ctx)
+			sleep(ctx, action.Wait)
 		case fanout.Pause:
 			sleep(ctx, action.Wait)
 			if action.Relist {
@@ -197,6 +202,38 @@
 	}
 }
 
+// followStore begins to follow all topics in the store, unless that is under way. Meanwhile the sources
+// are asked again; if they are silent, that takes seconds.
+func (s *Subscriber) followStore(ctx context.Context) {
+	s.setSource("store")
+	for _, topic := range s.Topics {
+		if needed, known := topic.neededScopes(); known {
+			s.ensureScopes(topic, needed)
+		}
+	}
+	if s.stopDirect != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	var group errgroup.Group
+	for _, topic := range s.Topics {
+		f := &Follower{Store: s.Store, Topic: topic, Failed: s.Failed, Recovered: s.Recovered}
+		group.Go(func() error { return f.Run(ctx) })
+	}
+	s.stopDirect = func() {
+		cancel()
+		_ = group.Wait() // followers end with their context and return no error
+	}
+}
+
+// endDirect ends what followStore began.
+func (s *Subscriber) endDirect() {
+	if s.stopDirect != nil {
+		s.stopDirect()
+		s.stopDirect = nil
+	}
+}
+
 // callTopics makes one call to the store for each of some topics, and reports whether
 // all succeeded.
 func (s *Subscriber) callTopics(ctx context.Context, wait time.Duration, filter func(*Topic) bool) bool {
@@ -244,6 +281,9 @@
 	if err != nil {
 		s.sourceErr = errors.Wrap(err, source.Name)
 	}
+	if outcome == fanout.Served {
+		s.endDirect()
+	}
 	s.follower.Done(outcome)
 	if s.follower.AllStale() && s.RelaysCutOff != nil {
 		s.RelaysCutOff()
--- a/internal/agentless/cluster/topic.go
+++ b/internal/agentless/cluster/topic.go
@@ -162,11 +162,14 @@
 	maps.DeleteFunc(t.tombstones, func(_ string, stone tombstone) bool { return stone.inferred })
 }
 
-// advance records that all changes up to a revision were applied.
+// advance records that all changes since the revision before were applied up to another one. A topic
+// that was reset meanwhile still has to be listed.
 func (t *Topic) advance(asOf int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.asOf = max(t.asOf, asOf)
+	if t.asOf != 0 {
+		t.asOf = max(t.asOf, asOf)
+	}
 	if t.SubTopic != nil {
 		t.SubTopic.advance(asOf)
 	}
--- a/internal/lab/fanout/model.go
+++ b/internal/lab/fanout/model.go
@@ -309,7 +309,7 @@
 	switch action.Kind {
 	case fanout.AskSource:
 		m.ask(p, p.sources[p.follower.Source()], action.Wait, run)
-	case fanout.AskStore:
+	case fanout.AskStore, fanout.FollowStore:
 		if !p.listed {
 			m.list(p, run, func() { m.step(p, run) })
 			return
--- a/internal/policy/fanout/follower.go
+++ b/internal/policy/fanout/follower.go
@@ -38,13 +38,14 @@
 const (
 	AskSource ActionKind = iota // request updates from the current source
 	AskStore                    // make one call per topic to the store
+	FollowStore                 // begin to follow the topics in the store until a source serves them, and wait for Wait
 	Pause                       // do nothing for Wait
 )
 
 // Action is what a process that follows others does next.
 type Action struct {
 	Kind ActionKind
-	Wait time.Duration // long-poll timeout of AskSource; duration of Pause
+	Wait time.Duration // long-poll timeout of AskSource; duration of Pause, and of FollowStore until the next action
 	// Relist asks for a listing of the members after the pause.
 	Relist bool
 }
@@ -72,6 +73,8 @@
 type Follower struct {
 	Role   Role // Leaf or Relay
 	Random func() float64
+	// FirstStart is true if the whole system starts for the first time, so that no callers wait.
+	FirstStart bool
 
 	fleet      Fleet
 	at         int       // index of the current source
@@ -162,13 +165,17 @@
 // afterPass returns the action after a pass in which no source went on serving.
 func (f *Follower) afterPass(now time.Time) Action {
 	switch {
+	case !f.fleet.HasRelays && f.Role == Leaf && (!f.FirstStart || f.startedLongAgo(now)):
+		// A small fleet's store can serve all of it. A round of calls between two passes would be
+		// as late as the sources are silent.
+		return Action{Kind: FollowStore, Wait: f.jitter(RetryInterval)}
 	case !f.startedLongAgo(now):
 		return f.awaitStart()
 	case f.Role == Relay:
 		f.lastRounds = min(max(2*f.lastRounds, 1), maxStoreRounds)
 		f.rounds = f.lastRounds - 1
 		return Action{Kind: AskStore}
-	case !f.isLeafBelowRelays(), f.mayAskStore(now):
+	case f.mayAskStore(now):
 		return Action{Kind: AskStore}
 	default:
 		return Action{Kind: Pause, Wait: f.jitter(RetryInterval)}
