batchrun: an item under which endpoints ended is placed again

What callers saw: after a burst of crashes an item of a step, or its scoring call, under which three endpoints had ended was not run for an hour, though the servers were back and had room. Its step ran out of time.

Cause: the quarantine of requests that end endpoints held items and scoring calls like requests of callers who wait. Class: a rule for those who may give up, applied to work that is owed. Also in moves of texts, and as evidence: an item's ends counted against callers' requests with its content.

Change: items and scoring calls are always admitted, are no suspects, and still count as copies that run and as proof by their answers. A run that is interrupted before its first event more than three times in a row waits 125 ms to 1 s, so that a bad item does not end engines as fast as it is placed.

--- a/internal/agentless/batchrun/itemrun.go
+++ b/internal/agentless/batchrun/itemrun.go
@@ -11,7 +11,6 @@
 	"siskinloom.example/siskinloom/internal/agentless/directory"
 	"siskinloom.example/siskinloom/internal/agentless/dispatch"
 	"siskinloom.example/siskinloom/internal/agentless/mechanism"
-	"siskinloom.example/siskinloom/internal/agentless/quarantine"
 	"siskinloom.example/siskinloom/internal/agentless/upstream"
 	"siskinloom.example/siskinloom/internal/policy/batch"
 	"siskinloom.example/siskinloom/internal/policy/endpoints"
@@ -158,18 +157,18 @@
 	return poison.Fingerprint(item.Body, http.MethodPost, spec.Host, item.Path)
 }
 
-// reportEnd tells the quarantine how the run ended. A run that was broken off after it continued
-// the text says nothing: the next engine resumes elsewhere in the text.
+// reportEnd tells the quarantine how the run ended. An item is owed whatever ends under it, so that it
+// is neither held back nor suspected when its endpoint ends, but its answer proves that callers'
+// requests with its content are harmless.
 func (r *itemRun) reportEnd(runOutcome batch.RunOutcome, endpointOutcome endpoints.Outcome) {
-	q, spec, i := r.owner.Quarantine, r.job.job.Spec, r.start.Index
+	q := r.owner.Quarantine
 	switch {
 	case endpointOutcome == endpoints.Answered:
-		q.Answered(itemFingerprint(spec, i))
+		q.Answered(itemFingerprint(r.job.job.Spec, r.start.Index))
 	case endpointOutcome == endpoints.Replaced:
 		q.EndpointReplaced(&r.pick.Endpoint)
 	case runOutcome == batch.RunInterrupted && endpointOutcome == endpoints.BrokenAnswer && r.generated == 0:
-		item := &spec.Items[i]
-		q.ConnectionLost(quarantine.Request{ID: item.ID, Fingerprint: itemFingerprint(spec, i), Method: http.MethodPost, Host: spec.Host, Path: item.Path}, &r.pick.Endpoint)
+		q.EndpointLost(&r.pick.Endpoint)
 	}
 }
 
--- a/internal/agentless/batchrun/moves.go
+++ b/internal/agentless/batchrun/moves.go
@@ -92,7 +92,7 @@
 	}
 	i := r.start.Index
 	job := r.job.job
-	if outcome != batch.RunCancelledToMove || job.Closed() || job.RemainingWork(i) == 0 || !r.owner.Quarantine.Admits(itemFingerprint(job.Spec, i), 0) {
+	if outcome != batch.RunCancelledToMove || job.Closed() || job.RemainingWork(i) == 0 {
 		r.next.pick.End(now, endpoints.Cancelled, 0, 0)
 		return nil
 	}
--- a/internal/agentless/batchrun/owner.go
+++ b/internal/agentless/batchrun/owner.go
@@ -54,7 +54,7 @@
 	Registry   metrics.Registry
 
 	Switches   *mechanism.Switches
-	Quarantine *quarantine.Quarantine // refuses items and scoring calls under which endpoints end; nil: none is refused
+	Quarantine *quarantine.Quarantine // learns how runs and scoring calls ended, which it never refuses; may be nil
 	Texts      *textlog.Log           // stores partial texts on disk; nil: they are not stored
 	Copier     *Copier                // replicates partial texts to a standby; its functions may be nil
 	Standby    *Standby               // takes over jobs of other owners that are lost
--- a/internal/agentless/batchrun/runs.go
+++ b/internal/agentless/batchrun/runs.go
@@ -23,8 +23,6 @@
 const (
 	// noEngineDelay is how long an item waits after no engine was available for it.
 	noEngineDelay = 25 * time.Millisecond
-	// quarantineDelay is how long a quarantined item waits before it is looked at again.
-	quarantineDelay = time.Second
 	// noRouteDelay is how long an item waits after no route matched it.
 	noRouteDelay = 500 * time.Millisecond
 	// firstEventTimeout is the timeout for the first event of a run. A batch that loads new
@@ -122,24 +120,16 @@
 			request.Tried = []string{last}
 		}
 		service := routes.SelectService(route, scorer.ID)
-		admission := o.Quarantine.Admit(quarantine.Copy{Fingerprint: scorerFingerprint(scorer), Service: service})
-		if !admission.Admitted {
-			o.scored(j, now, i, heldScore(admission), "", route.MaxAttempts)
-			continue
-		}
-		if request.Only = admission.Only; len(request.Only) == 1 {
-			request.Tried = nil // the only endpoint that may run a suspect
-		}
 		call := scoreCall{service: service, customer: j.job.Spec.Customer}
 		pick := o.pickScorer(j, call, request)
 		if pick == nil {
-			admission.Ended()
 			o.scored(j, now, i, batch.ScoreRetryable, "", route.MaxAttempts)
 			return
 		}
 		j.mu.Lock()
 		j.job.SetScoringEndpoint(i, pick.ID)
 		j.mu.Unlock()
+		admission := o.Quarantine.AdmitOwed(scorerFingerprint(scorer))
 		admission.Started(pick.ID)
 		o.runs.Go(func() error {
 			defer admission.Ended()
@@ -151,15 +141,6 @@
 	}
 }
 
-// heldScore returns the outcome of a scoring call that the quarantine doesn't admit: a suspect may
-// be called as soon as an endpoint is back, a quarantined call not for a long time.
-func heldScore(a *quarantine.Admission) batch.ScoreOutcome {
-	if a.Quarantined {
-		return batch.ScoreQuarantined
-	}
-	return batch.ScoreRetryable
-}
-
 func (o *Owner) scored(j *ownedJob, now time.Time, i int, scoreOutcome batch.ScoreOutcome, score string, attempts int) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -194,7 +175,7 @@
 	return poison.Fingerprint(s.Body, http.MethodPost, s.Host, s.Path)
 }
 
-// reportScoring tells the quarantine how a scoring call ended.
+// reportScoring tells the quarantine how a scoring call ended; see itemRun.reportEnd.
 func (o *Owner) reportScoring(s *batch.Scorer, pick *directory.Pick, outcome endpoints.Outcome) {
 	switch outcome {
 	case endpoints.Answered:
@@ -202,7 +183,7 @@
 	case endpoints.Replaced:
 		o.Quarantine.EndpointReplaced(&pick.Endpoint)
 	case endpoints.BrokenAnswer:
-		o.Quarantine.ConnectionLost(quarantine.Request{ID: s.ID, Fingerprint: scorerFingerprint(s), Method: http.MethodPost, Host: s.Host, Path: s.Path}, &pick.Endpoint)
+		o.Quarantine.EndpointLost(&pick.Endpoint)
 	}
 }
 
@@ -215,7 +196,11 @@
 		return batch.ScoreUnsendable, endpoints.Cancelled, "", err
 	}
 	if err != nil {
-		return batch.ScoreRetryable, classifyScoreError(j.ctx, err), "", err
+		outcome := classifyScoreError(j.ctx, err)
+		if outcome == endpoints.BrokenAnswer {
+			return batch.ScoreInterrupted, outcome, "", err
+		}
+		return batch.ScoreRetryable, outcome, "", err
 	}
 	defer func() { _ = answer.Body.Close() }()
 	_, err = io.Copy(io.Discard, answer.Body)
@@ -225,11 +210,11 @@
 	case answer.Replaced:
 		return batch.ScoreRetryable, endpoints.Replaced, "", nil
 	case err != nil:
-		return batch.ScoreRetryable, endpoints.BrokenAnswer, "", err
+		return batch.ScoreInterrupted, endpoints.BrokenAnswer, "", err
 	case answer.Status == http.StatusInternalServerError:
 		return batch.ScoreFailed, endpoints.Answered, "", nil
 	case answer.Status >= http.StatusMultipleChoices || !answer.Signed || answer.Encoded:
-		return batch.ScoreRetryable, endpoints.BrokenAnswer, "", errors.Errorf("status %d", answer.Status)
+		return batch.ScoreInterrupted, endpoints.BrokenAnswer, "", errors.Errorf("status %d", answer.Status)
 	}
 	return batch.ScoreGiven, endpoints.Answered, answer.Seal, nil
 }
--- a/internal/agentless/batchrun/scheduling.go
+++ b/internal/agentless/batchrun/scheduling.go
@@ -5,7 +5,6 @@
 
 	"siskinloom.example/siskinloom/internal/agentless/directory"
 	"siskinloom.example/siskinloom/internal/agentless/mechanism"
-	"siskinloom.example/siskinloom/internal/agentless/quarantine"
 	"siskinloom.example/siskinloom/internal/policy/batch"
 	"siskinloom.example/siskinloom/internal/policy/endpoints"
 	"siskinloom.example/siskinloom/internal/policy/routes"
@@ -136,18 +135,9 @@
 	}
 	service := routes.SelectService(route, item.ID)
 	request := engineRequest(j.job.Spec, start, r.now)
-	admission := r.owner.Quarantine.Admit(quarantine.Copy{
-		Fingerprint: itemFingerprint(j.job.Spec, c.Index), Service: service, Model: request.Model, MinVersion: request.MinVersion, Version: request.Version,
-	})
-	if !admission.Admitted {
-		j.postpone(c.Index, r.now.Add(max(noEngineDelay, min(quarantineDelay, admission.RetryAfter))))
-		return
-	}
-	request.Only = admission.Only
 	request.Placement = r.placement(j, c, service)
 	pick := r.owner.pickEngine(service, start, request)
 	if pick == nil {
-		admission.Ended()
 		j.postpone(c.Index, r.now.Add(noEngineDelay))
 		j.blocked = true
 		return
@@ -155,7 +145,8 @@
 	j.mu.Lock()
 	j.job.RunPlaced(r.now, c.Index)
 	j.mu.Unlock()
-	admission.Started(pick.ID) // before other items are decided on
+	admission := r.owner.Quarantine.AdmitOwed(itemFingerprint(j.job.Spec, c.Index))
+	admission.Started(pick.ID) // before other requests with its content are decided on
 	r.owner.runs.Go(func() error { r.owner.run(j.ownedJob, start, pick, admission); return nil })
 }
 
--- a/internal/agentless/quarantine/evidence.go
+++ b/internal/agentless/quarantine/evidence.go
@@ -69,6 +69,22 @@
 	}
 }
 
+// EndpointLost records that a connection to an endpoint broke under an item or a scoring call. The
+// endpoint may have ended; the request is not suspected.
+func (q *Quarantine) EndpointLost(endpoint *deployment.Endpoint) {
+	if q == nil || q.Directory == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	if !q.prober.RefusesConnections(ctx, endpoint.Address) {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.fleet.ended(time.Now(), endpoint)
+}
+
 // EndpointGone records that an endpoint is no longer listed.
 func (q *Quarantine) EndpointGone(id string) {
 	if q != nil && q.Directory != nil {
--- a/internal/agentless/quarantine/spare.go
+++ b/internal/agentless/quarantine/spare.go
@@ -87,6 +87,18 @@
 	return q.admission(c, q.decideTried(c))
 }
 
+// AdmitOwed returns the admission of a copy of an item or a scoring call, which is owed whatever ends
+// under it: it is always admitted, at any endpoint, and counts as a copy that runs.
+func (q *Quarantine) AdmitOwed(fingerprint uint64) *Admission {
+	if q == nil || !q.sparesEndpoints() {
+		return &Admission{Admitted: true}
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.copies.Add(fingerprint, "")
+	return &Admission{Admitted: true, quarantine: q, fingerprint: fingerprint, reserved: true}
+}
+
 // decideTried asks the registry. If the decision depends on an endpoint that didn't run the request
 // when it was sent there, it finds out whether that one has ended.
 func (q *Quarantine) decideTried(c Copy) poison.Decision {
--- a/internal/policy/batch/job.go
+++ b/internal/policy/batch/job.go
@@ -20,17 +20,37 @@
 	// refusalBackoff is the delay after an engine or a scorer refused a request: about the
 	// time until one of an engine's slots becomes free.
 	refusalBackoff = 40 * time.Millisecond
-	// quarantineBackoff is the delay after a quarantined scoring call was not made.
-	quarantineBackoff = time.Second
 	// interruptionBackoff is the delay after a run was interrupted, so that an engine which
 	// resets every connection does not take up all of the owner's time.
 	interruptionBackoff = 20 * time.Millisecond
+	// freeInterruptions is the number of interruptions in a row after which the delay grows: a burst
+	// of crashes interrupts a harmless item several times, but one under which each endpoint ends
+	// must not end them as fast as it can be placed.
+	freeInterruptions = 3
+	// minCrashBackoff and maxCrashBackoff bound that delay. The item is owed, and a step waits for it.
+	minCrashBackoff = 125 * time.Millisecond
+	maxCrashBackoff = time.Second
 )
 
+// interruptionDelay returns the delay after a number of interruptions in a row without progress.
+func interruptionDelay(n int) time.Duration {
+	if n <= freeInterruptions {
+		return interruptionBackoff
+	}
+	delay := minCrashBackoff
+	for range n - freeInterruptions - 1 {
+		if delay *= 2; delay >= maxCrashBackoff {
+			return maxCrashBackoff
+		}
+	}
+	return delay
+}
+
 type itemState struct {
 	phase         phase
 	notBefore     time.Time // earliest time of the next run or scoring call
 	failures      int       // runs that the engine reported as failed
+	interruptions int       // runs in a row that were interrupted before an event
 	scoringCalls  scoringCalls
 	text          [][]byte // data of the events so far
 	lastEvent     int64
@@ -133,6 +153,7 @@
 	if j.Spec.SingleVersion && len(it.versions) > 0 && it.versions[0] != version {
 		return false
 	}
+	it.interruptions = 0
 	it.lastEvent = id
 	it.text = append(it.text, data)
 	it.eventVersions = append(it.eventVersions, version)
@@ -173,7 +194,8 @@
 		j.finishText(i)
 	case RunCancelledToMove:
 	case RunInterrupted:
-		it.notBefore = now.Add(interruptionBackoff)
+		it.interruptions++
+		it.notBefore = now.Add(interruptionDelay(it.interruptions))
 	case RunRefused:
 		it.notBefore = now.Add(refusalBackoff)
 	case RunVersionMismatch:
--- a/internal/policy/batch/score.go
+++ b/internal/policy/batch/score.go
@@ -4,11 +4,12 @@
 
 // scoringCalls is the state of the calls that score an item's text.
 type scoringCalls struct {
-	inFlight     int
-	failures     int       // failures that the scorer reported
-	maxAttempts  int       // failures that the scorer's route allows; 0 if not known yet
-	lastEndpoint string    // endpoint of the last call
-	lastCallAt   time.Time // when the last call started
+	inFlight      int
+	failures      int       // failures that the scorer reported
+	interruptions int       // calls that were interrupted
+	maxAttempts   int       // failures that the scorer's route allows; 0 if not known yet
+	lastEndpoint  string    // endpoint of the last call
+	lastCallAt    time.Time // when the last call started
 }
 
 // limit returns how many calls may be in flight at once. After a failure, all remaining
@@ -72,8 +73,8 @@
 const (
 	ScoreGiven       ScoreOutcome = iota
 	ScoreFailed                   // the scorer reported a failure
-	ScoreRetryable                // the call was refused, or no complete answer arrived
-	ScoreQuarantined              // the call was not made, as it ends its endpoints
+	ScoreRetryable                // the call was refused, or its timeout passed
+	ScoreInterrupted              // the answer broke off, or the scorer ended
 	ScoreUnsendable               // the call can't be sent to any scorer
 )
 
@@ -98,8 +99,9 @@
 		}
 	case ScoreRetryable:
 		it.notBefore = now.Add(refusalBackoff)
-	case ScoreQuarantined:
-		it.notBefore = now.Add(quarantineBackoff)
+	case ScoreInterrupted:
+		it.scoringCalls.interruptions++
+		it.notBefore = now.Add(max(refusalBackoff, interruptionDelay(it.scoringCalls.interruptions)))
 	case ScoreUnsendable:
 		j.waitForExpiry(i)
 		if it.phase == ended {
--- a/internal/policy/fanout/follower.go
+++ b/internal/policy/fanout/follower.go
@@ -36,10 +36,10 @@
 
 // Kinds of actions.
 const (
-	AskSource ActionKind = iota // request updates from the current source
-	AskStore                    // make one call per topic to the store
-	FollowStore                 // begin to follow the topics in the store until a source serves them, and wait for Wait
-	Pause                       // do nothing for Wait
+	AskSource   ActionKind = iota // request updates from the current source
+	AskStore                      // make one call per topic to the store
+	FollowStore                   // begin to follow the topics in the store until a source serves them, and wait for Wait
+	Pause                         // do nothing for Wait
 )
 
 // Action is what a process that follows others does next.
