upstream: the head of an answer is limited to 64 KiB

What callers saw: a process that was ended for its memory, and with it all requests it had. An endpoint that answers with a head without end fills the memory of each process that sends it anything: requests, streams, items, scoring calls, orders.

Cause: http.ReadResponse reads a head of any size. Change: the connection's reader counts while a head is expected, interim answers included, and ends the call and the connection at 64 KiB. The caller's request is retried elsewhere where it may be, else it gets 502.

Ruled out by the same tests, held before and after: interim answers without end (three are skipped), chunk sizes, chunk extensions and trailers without end (limits of net/http).

Evidence: on the code before, the specs of heads end with "out of memory" under a limit of 6 GB of address space; now each ends after less than the socket's buffers.

--- a/internal/agentless/upstream/call.go
+++ b/internal/agentless/upstream/call.go
@@ -18,6 +18,9 @@
 
 const (
 	readBufferBytes = 4096
+	// maxHeadBytes is the limit of the status line and the headers of an answer. A faulty endpoint may
+	// send a head without end, at the speed of the link.
+	maxHeadBytes = 64 << 10
 
 	// maxStrayAnswers is how many answers to other requests are skipped on one connection
 	// before it is closed.
@@ -27,6 +30,9 @@
 	maxStrayBodyBytes = 1 << 20
 )
 
+// ErrHeadTooLong is returned for an answer whose head is longer than maxHeadBytes.
+var ErrHeadTooLong = errors.New("upstream: head of the answer is too long")
+
 // errStray is returned when the connection delivers only answers to other requests.
 var errStray = errors.New("upstream: received only answers to other requests")
 
@@ -67,13 +73,36 @@
 type conn struct {
 	raw         net.Conn
 	address     string
-	in          *bufio.Reader
-	usableUntil time.Time // end of the time for which it is kept idle
+	head        headLimiter
+	in          *bufio.Reader // reads raw through head
+	usableUntil time.Time     // end of the time for which it is kept idle
 	once        sync.Once
 }
 
 func newConn(raw net.Conn, address string) *conn {
-	return &conn{raw: raw, address: address, in: bufio.NewReaderSize(raw, readBufferBytes)}
+	c := &conn{raw: raw, address: address, head: headLimiter{in: raw}}
+	c.in = bufio.NewReaderSize(&c.head, readBufferBytes)
+	return c
+}
+
+// headLimiter limits the bytes that are read while the head of an answer is expected.
+type headLimiter struct {
+	in      io.Reader
+	limited bool
+	left    int // if limited
+}
+
+// Read implements io.Reader.
+func (l *headLimiter) Read(b []byte) (int, error) {
+	if !l.limited {
+		return l.in.Read(b)
+	}
+	if l.left == 0 {
+		return 0, ErrHeadTooLong
+	}
+	n, err := l.in.Read(b[:min(len(b), l.left)])
+	l.left -= n
+	return n, err
 }
 
 // close closes the connection, so that the endpoint notices it at once and stops the run
@@ -152,7 +181,9 @@
 func (c *conn) read(call *Call) (*http.Response, error) {
 	request := &http.Request{Method: call.Method, URL: &url.URL{}}
 	for range maxStrayAnswers + 1 {
+		c.head.limited, c.head.left = true, maxHeadBytes
 		response, err := http.ReadResponse(c.in, request)
+		c.head.limited = false
 		if err != nil {
 			return nil, err
 		}
