sse, batchrun: events, runs and scorers' answers without end are left

What callers saw: an owner that was ended for its memory by one faulty engine, and steps that waited for its jobs to move.

Cause: the reader of event streams looked at the size of an event only after each line, and a line may never end. A run took events as long as they continued its text, and a scorer's body was read for as long as the call may take (1.5 s at the speed of the link). Class: a limit that is checked after the unbounded read.

Change: a line is read in parts up to the limit of an event (4 MiB); a run that sends over 8 MiB of data is left, its text begun anew after the delay of an interrupted run; a scorer's answer is read up to 4 MiB. Streams of callers use the same reader.

--- a/internal/agentless/batchrun/itemrun.go
+++ b/internal/agentless/batchrun/itemrun.go
@@ -23,11 +23,14 @@
 	minPaceEvents = 8
 	// slowCheckEvents is the number of events after which a run checks for a faster engine.
 	slowCheckEvents = 4
+	// maxRunBytes is the limit of the events of one run. A faulty engine may send events without end.
+	maxRunBytes = 8 << 20
 )
 
 var (
 	errEngineTimeout = errors.New("batchrun: engine sent no event before the timeout")
 	errCrowded       = errors.New("batchrun: another engine has fewer requests")
+	errRunTooLong    = errors.New("batchrun: the engine sent more than a text can have")
 	errTooSlow       = errors.New("batchrun: another engine is faster")
 	errEndsSooner    = errors.New("batchrun: the text ends sooner at another engine")
 )
@@ -40,6 +43,7 @@
 	pick      *directory.Pick
 	began     time.Time
 	generated int // number of events
+	bytes     int // size of their data
 	pace      pace
 	speed     speedMeter
 	promised  float64  // seconds per event that were expected when the text was moved here; 0: it was not moved by time
@@ -78,6 +82,9 @@
 			return classifyRunError(ctx, &upstream.SendError{Sent: true, Err: err})
 		}
 		idleTimer.Reset(eventGapTimeout)
+		if r.bytes += len(event.Data); r.bytes > maxRunBytes {
+			return batch.RunOverlong, endpoints.BrokenAnswer, errRunTooLong
+		}
 		if !r.addEvent(event) {
 			return batch.RunVersionMismatch, endpoints.Cancelled, errors.Errorf("event %d of version %d does not continue the text", event.ID, event.Version)
 		}
--- a/internal/agentless/batchrun/runs.go
+++ b/internal/agentless/batchrun/runs.go
@@ -33,6 +33,8 @@
 	// scoreTimeout is the timeout of a scoring call. Calls take 200 ms; one that hangs is better
 	// retried at another scorer.
 	scoreTimeout = 1500 * time.Millisecond
+	// maxScoreAnswerBytes is the limit of a scorer's answer, of which only the header is of use.
+	maxScoreAnswerBytes = 4 << 20
 	// defaultRunTimeout is the timeout of a run whose job has no expiry time.
 	defaultRunTimeout = time.Minute
 )
@@ -75,7 +77,7 @@
 }
 
 // runOutcomeNames holds the names of the outcomes of runs in log lines, by batch.RunOutcome.
-var runOutcomeNames = [...]string{"complete", "broke", "refused", "failed", "impossible", "off-version", "moved", "unsendable"}
+var runOutcomeNames = [...]string{"complete", "broke", "refused", "failed", "impossible", "off-version", "moved", "unsendable", "overlong"}
 
 func (o *Owner) recordRun(r *itemRun, runOutcome batch.RunOutcome, took time.Duration, err error) {
 	switch runOutcome {
@@ -203,8 +205,13 @@
 		return batch.ScoreRetryable, outcome, "", err
 	}
 	defer func() { _ = answer.Body.Close() }()
-	_, err = io.Copy(io.Discard, answer.Body)
+	read, err := io.CopyN(io.Discard, answer.Body, maxScoreAnswerBytes+1)
+	if errors.Is(err, io.EOF) {
+		err = nil
+	}
 	switch {
+	case read > maxScoreAnswerBytes:
+		return batch.ScoreInterrupted, endpoints.BrokenAnswer, "", errors.New("batchrun: the scorer's answer is too long")
 	case answer.NotRun:
 		return batch.ScoreRetryable, endpoints.Refused, "", nil
 	case answer.Replaced:
--- /dev/null
+++ b/internal/agentless/sse/export_test.go
@@ -0,0 +1,4 @@
+package sse
+
+// MaxEventBytes is the limit of one event.
+const MaxEventBytes = maxEventBytes
--- a/internal/agentless/sse/sse.go
+++ b/internal/agentless/sse/sse.go
@@ -39,15 +39,11 @@
 func (r *Reader) Next() (Event, error) {
 	var e Event
 	for {
-		line, err := r.in.ReadBytes('\n')
-		e.Raw = append(e.Raw, line...)
-		if err != nil {
-			return Event{}, endError(err, e.Raw)
+		begin := len(e.Raw)
+		if err := r.readLine(&e); err != nil {
+			return Event{}, err
 		}
-		if len(e.Raw) > maxEventBytes {
-			return Event{}, ErrTooLong
-		}
-		line = bytes.TrimRight(line, "\r\n")
+		line := bytes.TrimRight(e.Raw[begin:], "\r\n")
 		if len(line) == 0 {
 			if isBlank(e.Raw) {
 				e.Raw = e.Raw[:0]
@@ -59,6 +55,23 @@
 	}
 }
 
+// readLine appends the next line of the stream to the raw event. A line may never end.
+func (r *Reader) readLine(e *Event) error {
+	for {
+		part, err := r.in.ReadSlice('\n')
+		e.Raw = append(e.Raw, part...)
+		switch {
+		case len(e.Raw) > maxEventBytes:
+			return ErrTooLong
+		case errors.Is(err, bufio.ErrBufferFull):
+			continue
+		case err != nil:
+			return endError(err, e.Raw)
+		}
+		return nil
+	}
+}
+
 // endError returns the error for a stream that ended after the bytes of a partial event.
 func endError(err error, partial []byte) error {
 	if errors.Is(err, io.EOF) && !isBlank(partial) {
--- a/internal/agentless/sse/sse_test.go
+++ b/internal/agentless/sse/sse_test.go
@@ -79,3 +79,24 @@
 		}
 	})
 }
+
+// endlessLine is a stream whose first line never ends.
+type endlessLine struct{ read int }
+
+func (l *endlessLine) Read(b []byte) (int, error) {
+	for i := range b {
+		b[i] = 'x'
+	}
+	l.read += len(b)
+	return len(b), nil
+}
+
+var _ = Describe("a line that never ends", func() {
+	// Guards against an endpoint that fills the memory of the process which reads its stream.
+	It("is not read any further than an event may be long", func() {
+		in := &endlessLine{}
+		_, err := sse.NewReader(in).Next()
+		Expect(err).To(MatchError(sse.ErrTooLong))
+		Expect(in.read).To(BeNumerically("<=", sse.MaxEventBytes+4096))
+	})
+})
--- a/internal/policy/batch/job.go
+++ b/internal/policy/batch/job.go
@@ -176,6 +176,7 @@
 	RunVersionMismatch                   // the engine's weight version cannot continue the text so far
 	RunCancelledToMove                   // this process cancelled the run, as another engine is faster or has fewer requests
 	RunUnsendable                        // the item can't be sent to any engine
+	RunOverlong                          // the engine sent more events than a text can have
 )
 
 // RunEnded records that an item's run at an engine ended. The item is then scored,
@@ -198,6 +199,10 @@
 		it.notBefore = now.Add(interruptionDelay(it.interruptions))
 	case RunRefused:
 		it.notBefore = now.Add(refusalBackoff)
+	case RunOverlong:
+		it.resetText()
+		it.interruptions++
+		it.notBefore = now.Add(interruptionDelay(it.interruptions))
 	case RunVersionMismatch:
 		it.resetText()
 		it.notBefore = now.Add(interruptionBackoff)
