gate: answers that are read at the same time share a bound of memory

What callers saw: a process of 216 to 304 MB that was ended for its memory while several answers without end were read: each may take 64 MiB.

Cause: the limit was for one answer. Change: beyond the first 64 KiB of each, all answers that are read take at most a sixth of the process's memory (a buffer that grows takes up to three times its size); one that finds none ends as one that is too large: 502, no other endpoint is asked, the endpoint isn't blamed. Usual answers are not counted.

Evidence: 20 requests whose answers never end read at most 100 MB together in a process of 30 MB times 20/6, before 1.3 GB (20 times the limit of one, by the limit's size, not run); a usual answer is served while a large one holds the rest.

--- a/internal/agentless/gate/answers_test.go
+++ b/internal/agentless/gate/answers_test.go
@@ -5,6 +5,9 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -88,3 +91,79 @@
 		Expect(strings.Join(out.events, "")).To(BeEmpty())
 	})
 })
+
+// endlessReader is a body that never ends. It counts what is read of it, by all readers.
+type endlessReader struct {
+	read *atomic.Int64
+	stop <-chan struct{}
+}
+
+func (r *endlessReader) Read(p []byte) (int, error) {
+	select {
+	case <-r.stop:
+		return 0, io.ErrUnexpectedEOF
+	default:
+	}
+	r.read.Add(int64(len(p)))
+	return len(p), nil
+}
+
+var _ = Describe("answers that never end", func() {
+	// Guards against a process that several faulty endpoints, or one that is asked often, fill with
+	// bodies without end.
+	It("take a bounded part of the process's memory together", func() {
+		const memory, requests = 30 << 20, 20
+		read, stop := &atomic.Int64{}, make(chan struct{})
+		defer close(stop)
+		endless := reply{status: http.StatusOK, reader: func() io.Reader { return &endlessReader{read, stop} }}
+		g := newGate(&scriptedSender{replies: []reply{endless}}, requests)
+		g.SetMemory(memory)
+		var group sync.WaitGroup
+		for range requests {
+			group.Go(func() {
+				defer GinkgoRecover()
+				unhurried := route(deployment.Idempotent)
+				unhurried.Objective = unhurried.Timeout
+				Expect(g.Serve(context.Background(), unhurried, request()).End).To(Equal(gate.Unknown))
+			})
+		}
+		group.Wait()
+		Expect(read.Load()).To(BeNumerically("<", requests*memory/6))
+	})
+
+	// Guards against usual answers that are refused since others take the memory.
+	It("leave room for answers of usual size", func() {
+		stop, held := make(chan struct{}), make(chan struct{})
+		large := reply{status: http.StatusOK, reader: func() io.Reader { return &heldReader{left: gate.FreeAnswerBytes, held: held, stop: stop} }}
+		g := newGate(&scriptedSender{replies: []reply{large, answered}}, 4)
+		g.SetMemory(6 * gate.AnswerStepBytes) // for one step of one answer
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			unhurried := route(deployment.Idempotent)
+			unhurried.Objective = unhurried.Timeout
+			g.Serve(context.Background(), unhurried, request())
+		}()
+		Eventually(held).WithTimeout(20 * time.Second).Should(BeClosed())
+		Expect(g.Serve(context.Background(), route(deployment.Idempotent), request()).End).To(Equal(gate.Answered))
+		close(stop)
+		<-done
+	})
+})
+
+// heldReader gives a number of bytes and then waits, while its reader holds memory for more.
+type heldReader struct {
+	left       int
+	held, stop chan struct{}
+}
+
+func (r *heldReader) Read(p []byte) (int, error) {
+	if r.left == 0 {
+		close(r.held)
+		<-r.stop
+		return 0, io.ErrUnexpectedEOF
+	}
+	n := min(len(p), r.left)
+	r.left -= n
+	return n, nil
+}
--- a/internal/agentless/gate/execution.go
+++ b/internal/agentless/gate/execution.go
@@ -337,11 +337,11 @@
 		return classifyError(ctx, err)
 	}
 	defer func() { _ = answer.Body.Close() }()
-	body, err := readBody(answer)
+	body, err := g.answers.read(answer)
 	switch {
 	case answer.NotRun || answer.Replaced:
 		return refusedAttempt(pick, answer), refusalOutcome(answer)
-	case errors.Is(err, errTooLarge):
+	case errors.Is(err, errTooLarge), errors.Is(err, errNoMemory):
 		return attempt{final: true, err: err}, endpoints.Answered
 	case err != nil:
 		return classifyError(ctx, &upstream.SendError{Sent: true, Err: err})
--- a/internal/agentless/gate/gate.go
+++ b/internal/agentless/gate/gate.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -54,8 +53,6 @@
 	// notReadyRetryAfter is the delay while this process has no declaration from the store,
 	// or may lack the newest one.
 	notReadyRetryAfter = 300 * time.Millisecond
-	// maxAnswerBytes is the limit of an answer that is held in memory.
-	maxAnswerBytes = 64 << 20
 )
 
 // Request is a caller's request.
@@ -123,6 +120,7 @@
 	DeclarationAge func() time.Duration
 	Shares         Shares // limits this process's requests to each service; nil: only by what it learns itself
 
+	answers   answerMemory
 	directory *directory.Directory
 	sender    dispatch.Sender
 	log       *logrus.Logger
@@ -316,18 +314,6 @@
 	}
 }
 
-// readBody reads an answer's body. It returns errTooLarge if that is longer than maxAnswerBytes.
-func readBody(a *dispatch.Answer) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxAnswerBytes+1))
-	switch {
-	case err != nil:
-		return nil, err
-	case len(body) > maxAnswerBytes:
-		return nil, errTooLarge
-	}
-	return body, nil
-}
-
 // promisesNotRun returns whether a status tells a caller that its request has not run and never
 // will. An endpoint may use such a status for a request that it ran; only Answer.NotRun is certain.
 func promisesNotRun(status int) bool {
--- a/internal/agentless/gate/stream.go
+++ b/internal/agentless/gate/stream.go
@@ -216,9 +216,9 @@
 // plainAnswer returns an endpoint's answer that is not a stream. Once the headers were sent,
 // such an answer can't be passed on.
 func (s *stream) plainAnswer(answer *dispatch.Answer) (Outcome, attempt, endpoints.Outcome) {
-	body, err := readBody(answer)
+	body, err := s.gate.answers.read(answer)
 	switch {
-	case errors.Is(err, errTooLarge):
+	case errors.Is(err, errTooLarge), errors.Is(err, errNoMemory):
 		return Outcome{}, attempt{err: err}, endpoints.Answered
 	case err == nil && !s.route.Repeatable() && promisesNotRun(answer.Status):
 		return Outcome{}, attempt{err: errUnproven}, endpoints.Answered
--- a/internal/agentless/node/node.go
+++ b/internal/agentless/node/node.go
@@ -206,6 +206,9 @@
 	n.mover = &batchrun.Mover{Self: s.ID, Store: a.Store, Members: n.members, Log: log, StoreRecentlyDown: n.outage.isRecent, Answers: n.frontend.Answers, Models: n.directory.Models, NotifyOwner: n.frontend.NotifyMoved}
 	n.gate = gate.New(n.directory, a.Sender, log, registry)
 	n.gate.Switches, n.gate.Quarantine = switches, n.quarantine
+	if s.MemoryBytes > 0 {
+		n.gate.SetMemory(s.MemoryBytes)
+	}
 	n.operator = &cluster.Topic{Prefix: a.Schema.Operator, Deleted: func(string, int64) {}, Confirmed: n.declarationConfirmed}
 	n.gate.Confirm, n.gate.DeclarationAge = n.confirmDeclaration, n.declarationAge
 	n.addUsage(self, peers)
