--- a/internal/agentless/node/node.go
+++ b/internal/agentless/node/node.go
@@ -204,13 +204,7 @@
 	n.owner.Init()
 	n.frontend = &batchrun.Frontend{Store: a.Store, Members: n.members, Peers: peers, Local: n.owner, Log: log, ValueBytes: s.ValueBytes, Models: n.directory.Models, Domain: s.FailureDomain, IsHub: s.Worker, Unreachable: n.store.Unreachable}
 	n.mover = &batchrun.Mover{Self: s.ID, Store: a.Store, Members: n.members, Log: log, StoreRecentlyDown: n.outage.isRecent, Answers: n.frontend.Answers, Models: n.directory.Models, NotifyOwner: n.frontend.NotifyMoved}
-	n.gate = gate.New(n.directory, a.Sender, log, registry)
-	n.gate.Switches, n.gate.Quarantine = switches, n.quarantine
-	if s.MemoryBytes > 0 {
-		n.gate.SetMemory(s.MemoryBytes)
-	}
-	n.operator = &cluster.Topic{Prefix: a.Schema.Operator, Deleted: func(string, int64) {}, Confirmed: n.declarationConfirmed}
-	n.gate.Confirm, n.gate.DeclarationAge = n.confirmDeclaration, n.declarationAge
+	n.addGate(switches)
 	n.addUsage(self, peers)
 	n.shares = n.newShares(self, peers, switches)
 	if s.Worker {
@@ -247,6 +241,18 @@
 	return n
 }
 
+// addGate creates the component that serves callers' requests, and the topic of the operator's keys, by
+// whose age it decides whether a request may be denied.
+func (n *Node) addGate(switches *mechanism.Switches) {
+	n.gate = gate.New(n.directory, n.adapter.Sender, n.log, n.registry)
+	n.gate.Switches, n.gate.Quarantine = switches, n.quarantine
+	if n.settings.MemoryBytes > 0 {
+		n.gate.SetMemory(n.settings.MemoryBytes)
+	}
+	n.operator = &cluster.Topic{Prefix: n.adapter.Schema.Operator, Deleted: func(string, int64) {}, Confirmed: n.declarationConfirmed}
+	n.gate.Confirm, n.gate.DeclarationAge = n.confirmDeclaration, n.declarationAge
+}
+
 // newRegistrar returns the component that keeps this process registered.
 func (n *Node) newRegistrar(self cluster.Member) *cluster.Registrar {
 	r := cluster.NewRegistrar(n.adapter.Store, self, max(workerTTL, n.settings.MinTTL), n.members, n.log)
