--- a/internal/agentless/node/fleet_test.go
+++ b/internal/agentless/node/fleet_test.go
@@ -1,7 +1,7 @@
 //go:build !race
 
-// The race detector crashes the runtime (SIGSEGV in a timer of a synctest bubble) in long days of
-// virtual time.
+// Under the race detector the test process crashes in long days of virtual time (SIGSEGV, or a failed
+// check of the detector itself). The cause is not known.
 
 package node
 
