--- a/review/stand2/filing.go
+++ b/review/stand2/filing.go
@@ -8,7 +8,9 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -32,6 +34,7 @@
 	present int
 	extra   float64 // share of the answers of which a second copy follows late
 	slots   chan struct{}
+	work    time.Duration
 }
 
 // filings records what ran and what was answered, by the ID of the request.
@@ -41,14 +44,21 @@
 	answers  map[string]int
 	extras   int // second copies sent
 	refusals int // answers of engines that are full
+	foreign  int // successes with the body of another request
 }
 
-func (f *fleet) addDesk(id, zone string) error {
+func (q *filings) noteForeign() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.foreign++
+}
+
+func (f *fleet) addDesk(id, zone string, work time.Duration) error {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
-	d := &desk{fleet: f, id: id, zone: zone, address: listener.Addr().String(), slots: make(chan struct{}, deskSlots)}
+	d := &desk{fleet: f, id: id, zone: zone, address: listener.Addr().String(), slots: make(chan struct{}, deskSlots), work: work}
 	f.desks = append(f.desks, d)
 	go func() {
 		for {
@@ -104,11 +114,20 @@
 			return
 		}
 		if d.drawExtra() {
-			late = raw
+			if late = raw; d.fleet.spoiled {
+				late = withoutID(raw)
+			}
 		}
 	}
 }
 
+// withoutID returns an answer without the line that has the request's ID.
+func withoutID(raw []byte) []byte {
+	head, body, _ := strings.Cut(string(raw), "\r\n\r\n")
+	lines := slices.DeleteFunc(strings.Split(head, "\r\n"), func(line string) bool { return strings.HasPrefix(line, "Siskinloom-Request-Id:") })
+	return []byte(strings.Join(lines, "\r\n") + "\r\n\r\n" + body)
+}
+
 func (d *desk) drawExtra() bool {
 	d.mu.Lock()
 	extra := rand.Float64() < d.extra
@@ -163,7 +182,7 @@
 	runs := f.runs[id]
 	f.mu.Unlock()
 	d.fleet.record.add("engine %s: request %s runs, for the %d. time", d.id, id, runs)
-	time.Sleep(deskWork)
+	time.Sleep(d.work)
 	<-d.slots
 	d.mu.Lock()
 	d.present--
@@ -212,8 +231,13 @@
 	if err == nil {
 		raw, readErr := io.ReadAll(response.Body)
 		_ = response.Body.Close()
-		if status = response.StatusCode; readErr != nil || status == http.StatusOK && string(raw) != "booked "+id {
+		status = response.StatusCode
+		switch {
+		case readErr != nil:
 			status = 0
+		case status == http.StatusOK && string(raw) != "booked "+id:
+			f.filings.noteForeign()
+			f.record.add("consumer: %s got the answer %q with the seal %q", id, raw, response.Header.Get("Siskinloom-Server-Seal"))
 		}
 	}
 	f.filings.mu.Lock()
--- a/review/stand2/fleet.go
+++ b/review/stand2/fleet.go
@@ -69,6 +69,7 @@
 	engines  []*engine
 	desks    []*desk
 	filings  *filings
+	spoiled  bool // second copies of answers lack the request's ID
 	bounds   map[string]any
 	edgeMb   int
 	runs     sync.Map // engine at which a request began to run, by the request's ID
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -24,7 +24,7 @@
 }
 
 func run() int {
-	name := flag.String("case", "", "twice, slow or lost")
+	name := flag.String("case", "", "twice, mixed, slow or lost")
 	bin := flag.String("bin", "target/siskinloomd", "the daemon")
 	dir := flag.String("dir", "", "temporary folder")
 	recordPath := flag.String("record", "record.txt", "file for the record")
@@ -44,6 +44,8 @@
 	switch *name {
 	case "twice":
 		return f.runTwice(*seconds, trouble)
+	case "mixed":
+		return f.runMixed(*seconds, trouble)
 	case "slow":
 		return f.runSlow(*seconds, trouble)
 	case "lost":
--- a/review/stand2/twice.go
+++ b/review/stand2/twice.go
@@ -45,7 +45,7 @@
 	f.put("op/config", filingConfig())
 	zones := []string{"kigali-nyarugenge", "kigali-gasabo", "kigali-kicukiro"}
 	for i := range deskEngines {
-		if err := f.addDesk(fmt.Sprintf("i-desk-%d", i+1), zones[i%3]); err != nil {
+		if err := f.addDesk(fmt.Sprintf("i-desk-%d", i+1), zones[i%3], deskWork); err != nil {
 			return failed
 		}
 	}
@@ -67,19 +67,19 @@
 	end := f.record.begin.Add(time.Duration(seconds) * time.Second)
 	for time.Now().Add(garbleTime).Before(end) {
 		if trouble {
-			f.garble(garbleShare)
+			f.garble(garbled, garbleShare)
 		}
 		time.Sleep(garbleTime)
-		f.garble(0)
+		f.garble(garbled, 0)
 		time.Sleep(garblePause)
 	}
 	time.Sleep(time.Until(end))
 	return f.judgeFilings()
 }
 
-// garble sets the share of answers of which a second copy follows.
-func (f *fleet) garble(share float64) {
-	for _, d := range f.desks[:garbled] {
+// garble sets the share of answers of the first engines of which a second copy follows.
+func (f *fleet) garble(engines int, share float64) {
+	for _, d := range f.desks[:engines] {
 		d.mu.Lock()
 		d.extra = share
 		d.mu.Unlock()
