--- a/review/stand2/fleet.go
+++ b/review/stand2/fleet.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -14,9 +13,6 @@
 	"sync"
 	"syscall"
 	"time"
-
-	"siskinloom.example/siskinloom/internal/kv"
-	"siskinloom.example/siskinloom/internal/standin"
 )
 
 // Ports of each process. Each has a loopback address of its own.
@@ -63,7 +59,7 @@
 type fleet struct {
 	bin, dir string
 	record   *record
-	store    *standin.TransactionalStore
+	store    *storeServer
 	storeAt  string
 	machines []*machine
 	engines  []*engine
@@ -109,20 +105,20 @@
 
 // startStore starts the platform's store.
 func (f *fleet) startStore() error {
-	f.store = standin.NewTransactionalStore()
+	f.store = newStoreServer()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
 	f.storeAt = listener.Addr().String()
-	go func() { _ = http.Serve(listener, &storeServer{f.store}) }()
+	go func() { _ = http.Serve(listener, f.store) }()
 	return nil
 }
 
 // put writes a key of the operator, of a trainer or of an engine.
 func (f *fleet) put(key string, v any) {
 	raw, _ := json.Marshal(v)
-	_, _ = f.store.Commit(context.Background(), kv.Transaction{Puts: []kv.Put{{Key: key, Value: raw}}})
+	f.store.put(key, raw)
 }
 
 // addMachine adds a machine and starts its process.
--- a/review/stand2/store.go
+++ b/review/stand2/store.go
@@ -1,47 +1,109 @@
 package main
 
 import (
-	"encoding/base64"
 	"encoding/json"
-	"errors"
 	"net/http"
+	"sort"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
-
-	"siskinloom.example/siskinloom/internal/kv"
-	"siskinloom.example/siskinloom/internal/standin"
 )
 
-// storeServer serves the project's stand-in of the key-value service over the platform's HTTP
-// interface.
-type storeServer struct{ store *standin.TransactionalStore }
+// maxPageItems is the number of items of a page of a listing.
+const maxPageItems = 500
 
-// storeItem is a record, or a deleted key, as it is sent.
+// storeItem is an item of the store. A tombstone stands for a removed key.
 type storeItem struct {
-	Key       string `json:"key"`
-	Value     string `json:"value,omitempty"`
-	Revision  int64  `json:"revision"`
-	Lease     int64  `json:"lease"`
-	Tombstone bool   `json:"tombstone,omitempty"`
+	Key        string `json:"key"`
+	Value      []byte `json:"value,omitempty"`
+	Revision   int64  `json:"revision"`
+	CreatedRev int64  `json:"createdRev,omitempty"`
+	Lease      int64  `json:"lease"`
+	Tombstone  bool   `json:"tombstone,omitempty"`
 }
 
-func encodeItem(r kv.Record) storeItem {
-	return storeItem{Key: r.Key, Value: base64.StdEncoding.EncodeToString(r.Value), Revision: r.Revision, Lease: int64(r.Lease)}
+// storeLease is a lease with its end.
+type storeLease struct {
+	ttl time.Duration
+	end time.Time
 }
 
-func answer(w http.ResponseWriter, v any, err error) {
-	switch {
-	case err == nil:
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(v)
-	case errors.Is(err, kv.ErrHistoryGone):
-		w.WriteHeader(http.StatusGone)
-	case errors.Is(err, kv.ErrLeaseNotFound):
-		w.WriteHeader(http.StatusNotFound)
-	default:
-		w.WriteHeader(http.StatusServiceUnavailable)
+// storeServer stands in for the platform's metadata store. It is linearizable, forgets nothing and
+// has no limits of rate.
+type storeServer struct {
+	mu       sync.Mutex
+	revision int64
+	items    map[string]storeItem
+	history  []storeItem
+	leases   map[int64]*storeLease
+	lastID   int64
+	changed  chan struct{} // closed and replaced with each change
+}
+
+func newStoreServer() *storeServer {
+	return &storeServer{revision: 1, items: map[string]storeItem{}, leases: map[int64]*storeLease{}, changed: make(chan struct{})}
+}
+
+// lock locks the store and ends the leases whose time is over.
+func (s *storeServer) lock() {
+	s.mu.Lock()
+	now := time.Now()
+	for id, l := range s.leases {
+		if now.After(l.end) {
+			s.endLease(id)
+		}
+	}
+}
+
+// endLease ends a lease and removes its keys. The lock must be held.
+func (s *storeServer) endLease(id int64) {
+	delete(s.leases, id)
+	s.revision++
+	for key, item := range s.items {
+		if item.Lease == id {
+			s.remove(key)
+		}
+	}
+	s.notify()
+}
+
+// remove removes a key at the current revision. The lock must be held.
+func (s *storeServer) remove(key string) {
+	if _, found := s.items[key]; found {
+		delete(s.items, key)
+		s.history = append(s.history, storeItem{Key: key, Revision: s.revision, Tombstone: true})
+	}
+}
+
+// write writes a key at the current revision. The lock must be held.
+func (s *storeServer) write(key string, value []byte, lease int64) {
+	item := storeItem{Key: key, Value: value, Revision: s.revision, CreatedRev: s.revision, Lease: lease}
+	if before, found := s.items[key]; found {
+		item.CreatedRev = before.CreatedRev
 	}
+	s.items[key] = item
+	s.history = append(s.history, item)
+}
+
+func (s *storeServer) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// put writes a key of the operator, of a trainer or of an engine.
+func (s *storeServer) put(key string, value []byte) {
+	s.lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.write(key, value, 0)
+	s.notify()
+}
+
+func answerJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
 }
 
 // ServeHTTP implements http.Handler.
@@ -49,74 +111,151 @@
 	q := r.URL.Query()
 	switch path := r.URL.Path; {
 	case path == "/-/kv-key":
-		record, err := s.store.Read(r.Context(), q.Get("key"))
-		if err == nil && record.Revision == 0 {
+		s.lock()
+		item, found := s.items[q.Get("key")]
+		s.mu.Unlock()
+		if !found {
 			w.WriteHeader(http.StatusNotFound)
 			return
 		}
-		answer(w, encodeItem(record), err)
+		answerJSON(w, http.StatusOK, item)
 	case path == "/-/kv-range":
-		page, err := s.store.ReadPage(r.Context(), q.Get("prefix"), q.Get("after"))
-		items := []storeItem{}
-		for _, record := range page.Records {
-			items = append(items, encodeItem(record))
-		}
-		answer(w, map[string]any{"items": items, "truncated": page.Truncated, "asOf": page.AsOf}, err)
+		s.list(w, q.Get("prefix"), q.Get("after"))
 	case path == "/-/kv-watch":
 		s.watch(w, r)
 	case path == "/-/kv-txn":
 		s.commit(w, r)
 	case path == "/-/kv-lease":
-		var body struct{ TTLMs int64 }
-		_ = json.NewDecoder(r.Body).Decode(&body)
-		id, ttl, err := s.store.GrantLease(r.Context(), time.Duration(body.TTLMs)*time.Millisecond)
-		answer(w, map[string]int64{"lease": int64(id), "ttlMs": ttl.Milliseconds()}, err)
+		s.grant(w, r)
 	default:
 		id, _ := strconv.ParseInt(path[strings.LastIndexByte(path, '/')+1:], 10, 64)
-		if r.Method == http.MethodDelete {
-			answer(w, struct{}{}, s.store.RevokeLease(r.Context(), kv.LeaseID(id)))
-			return
+		s.renewOrEnd(w, id, r.Method == http.MethodDelete)
+	}
+}
+
+func (s *storeServer) list(w http.ResponseWriter, prefix, after string) {
+	s.lock()
+	items, asOf := []storeItem{}, s.revision
+	for key, item := range s.items {
+		if strings.HasPrefix(key, prefix) && key > after {
+			items = append(items, item)
 		}
-		answer(w, struct{}{}, s.store.KeepLease(r.Context(), kv.LeaseID(id)))
 	}
+	s.mu.Unlock()
+	sort.Slice(items, func(i, j int) bool { return items[i].Key < items[j].Key })
+	truncated := len(items) > maxPageItems
+	answerJSON(w, http.StatusOK, map[string]any{"items": items[:min(len(items), maxPageItems)], "truncated": truncated, "asOf": asOf})
 }
 
+// watch answers with the changes after a revision, once there are any or the wait is over.
 func (s *storeServer) watch(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	after, _ := strconv.ParseInt(q.Get("after"), 10, 64)
 	wait, _ := strconv.Atoi(q.Get("waitMs"))
-	changes, err := s.store.Await(r.Context(), q.Get("prefix"), after, time.Duration(wait)*time.Millisecond)
-	items := []storeItem{}
-	for _, c := range changes.Changes {
-		item := encodeItem(c.Record)
-		item.Tombstone = c.Deleted
-		items = append(items, item)
+	end := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer end.Stop()
+	for waiting := true; ; {
+		s.lock()
+		found, asOf, changed := s.changesAfter(q.Get("prefix"), after), s.revision, s.changed
+		s.mu.Unlock()
+		if len(found) > 0 || !waiting {
+			answerJSON(w, http.StatusOK, map[string]any{"events": found, "asOf": asOf})
+			return
+		}
+		select {
+		case <-changed:
+		case <-end.C:
+			waiting = false
+		case <-r.Context().Done():
+			return
+		}
 	}
-	answer(w, map[string]any{"events": items, "asOf": changes.AsOf}, err)
+}
+
+// changesAfter returns the changes of a prefix after a revision. The lock must be held.
+func (s *storeServer) changesAfter(prefix string, after int64) []storeItem {
+	found := []storeItem{}
+	first := sort.Search(len(s.history), func(i int) bool { return s.history[i].Revision > after })
+	for _, item := range s.history[first:] {
+		if strings.HasPrefix(item.Key, prefix) {
+			found = append(found, item)
+		}
+	}
+	return found
 }
 
 func (s *storeServer) commit(w http.ResponseWriter, r *http.Request) {
 	var body struct {
-		Expected []kv.Expectation
-		Puts     []kv.Put
-		Remove   []string
+		Expected []struct {
+			Key      string
+			Revision int64
+		}
+		Puts []struct {
+			Key   string
+			Value []byte
+			Lease int64
+		}
+		Remove []string
 	}
 	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	committed, err := s.store.Commit(r.Context(), kv.Transaction{Expect: body.Expected, Puts: body.Puts, Remove: body.Remove})
-	if err != nil || committed.Done {
-		answer(w, map[string]int64{"revision": committed.Revision}, err)
+	s.lock()
+	defer s.mu.Unlock()
+	holds, current := true, []storeItem{}
+	for _, e := range body.Expected {
+		item, found := s.items[e.Key]
+		holds = holds && item.Revision == e.Revision
+		if found {
+			current = append(current, item)
+		}
+	}
+	if !holds {
+		answerJSON(w, http.StatusPreconditionFailed, map[string]any{"items": current})
 		return
 	}
-	items := []storeItem{}
-	for _, e := range body.Expected {
-		if record, err := s.store.Read(r.Context(), e.Key); err == nil && record.Revision != 0 {
-			items = append(items, encodeItem(record))
+	for _, p := range body.Puts {
+		if p.Lease != 0 && s.leases[p.Lease] == nil {
+			w.WriteHeader(http.StatusNotFound)
+			return
 		}
 	}
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(http.StatusPreconditionFailed)
-	_ = json.NewEncoder(w).Encode(map[string]any{"items": items})
+	s.revision++
+	for _, p := range body.Puts {
+		s.write(p.Key, p.Value, p.Lease)
+	}
+	for _, key := range body.Remove {
+		s.remove(key)
+	}
+	s.notify()
+	answerJSON(w, http.StatusOK, map[string]int64{"revision": s.revision})
+}
+
+func (s *storeServer) grant(w http.ResponseWriter, r *http.Request) {
+	var body struct{ TTLMs int64 }
+	_ = json.NewDecoder(r.Body).Decode(&body)
+	ttl := time.Duration(body.TTLMs) * time.Millisecond
+	s.lock()
+	defer s.mu.Unlock()
+	s.lastID++
+	s.leases[s.lastID] = &storeLease{ttl: ttl, end: time.Now().Add(ttl)}
+	answerJSON(w, http.StatusOK, map[string]int64{"lease": s.lastID, "ttlMs": body.TTLMs})
+}
+
+// renewOrEnd renews a lease, or ends it.
+func (s *storeServer) renewOrEnd(w http.ResponseWriter, id int64, end bool) {
+	s.lock()
+	defer s.mu.Unlock()
+	l := s.leases[id]
+	switch {
+	case l == nil:
+		w.WriteHeader(http.StatusNotFound)
+		return
+	case end:
+		s.endLease(id)
+	default:
+		l.end = time.Now().Add(l.ttl)
+	}
+	answerJSON(w, http.StatusOK, map[string]int64{"lease": id})
 }
