--- a/internal/layers/layers_test.go
+++ b/internal/layers/layers_test.go
@@ -129,7 +129,7 @@
 	It("let only tests and the lab import stand-ins and measurements", func() {
 		forbid(
 			func(pkg string) bool {
-				return !within(pkg, "cmd", "internal/lab", "internal/standin", "platform/soak") && path.Base(pkg) != "claimtest"
+				return !within(pkg, "cmd", "internal/lab", "internal/standin", "platform/soak", "platform/storeserver") && path.Base(pkg) != "claimtest"
 			},
 			func(i string) bool { return within(i, "internal/standin", "internal/lab") },
 		)
