intake: one account of the connections and the memory that callers hold of an entry

What callers saw: some dozens of clients that send unfinished bodies, bodies far over the limit or heads without end end a process (killed for its memory), 500 connections take all of its descriptors; nobody else is served.

Cause: readBody allocated what was announced or let io.ReadAll double, for each connection and for as long as its sender liked; net/http reads heads of up to 1 MB before the operator's limit is looked at; connections were not counted. Nothing bounded the sum.

Ruled out: a time limit alone (100 bodies of 31 MB arrive within it), a limit of connections alone (4 of them fill 144 MB), a body in one buffer that doubles (three times its size).

Change: policy/intake decides, internal/intake counts; a body is read in segments (internal/payload) that are reserved first, so upstream, dispatch and gate take bodies in segments. A full account takes from the unfinished request that held most for longest, or the longest silent connection; refusals say 503 or 408, both not run, or 413/431 at once. The readiness probe's address has a small account of its own. Shares: a quarter of the memory for requests, as the smallest machine (144 MB) must still take one body of 33,554,432 bytes; a sixth for connections at 40 KiB; half of the descriptors.

--- a/internal/agentless/batchrun/itemrun.go
+++ b/internal/agentless/batchrun/itemrun.go
@@ -12,6 +12,7 @@
 	"siskinloom.example/siskinloom/internal/agentless/dispatch"
 	"siskinloom.example/siskinloom/internal/agentless/mechanism"
 	"siskinloom.example/siskinloom/internal/agentless/upstream"
+	"siskinloom.example/siskinloom/internal/payload"
 	"siskinloom.example/siskinloom/internal/policy/batch"
 	"siskinloom.example/siskinloom/internal/policy/endpoints"
 	"siskinloom.example/siskinloom/internal/policy/poison"
@@ -192,7 +193,7 @@
 	// No urgency is set: an engine preempts less urgent runs and must prefill them again, and
 	// the preempted model's steps were the ones that came late.
 	return &dispatch.Request{
-		ID: item.ID, Method: http.MethodPost, Target: item.Path, Host: spec.Host, Header: header, Body: item.Body,
+		ID: item.ID, Method: http.MethodPost, Target: item.Path, Host: spec.Host, Header: header, Body: payload.Of(item.Body),
 		Timeout: timeout, ResumeAfter: start.ResumeAfter, Version: start.RequiredVersion, Urgency: -1, Customer: spec.Customer,
 	}
 }
--- a/internal/agentless/batchrun/runs.go
+++ b/internal/agentless/batchrun/runs.go
@@ -14,6 +14,7 @@
 	"siskinloom.example/siskinloom/internal/agentless/quarantine"
 	"siskinloom.example/siskinloom/internal/agentless/upstream"
 	"siskinloom.example/siskinloom/internal/events"
+	"siskinloom.example/siskinloom/internal/payload"
 	"siskinloom.example/siskinloom/internal/policy/batch"
 	"siskinloom.example/siskinloom/internal/policy/endpoints"
 	"siskinloom.example/siskinloom/internal/policy/poison"
@@ -192,7 +193,7 @@
 func (o *Owner) askScorer(j *ownedJob, scorer *batch.Scorer, pick *directory.Pick) (batch.ScoreOutcome, endpoints.Outcome, string, error) {
 	ctx, cancel := context.WithTimeout(j.ctx, scoreTimeout)
 	defer cancel()
-	request := &dispatch.Request{ID: scorer.ID, Method: http.MethodPost, Target: scorer.Path, Host: scorer.Host, Header: http.Header{}, Body: scorer.Body, Timeout: scoreTimeout, Urgency: -1}
+	request := &dispatch.Request{ID: scorer.ID, Method: http.MethodPost, Target: scorer.Path, Host: scorer.Host, Header: http.Header{}, Body: payload.Of(scorer.Body), Timeout: scoreTimeout, Urgency: -1}
 	answer, err := o.Sender.Send(ctx, &pick.Endpoint, request)
 	if errors.Is(err, upstream.ErrMalformed) {
 		return batch.ScoreUnsendable, endpoints.Cancelled, "", err
--- a/internal/agentless/dispatch/dispatch.go
+++ b/internal/agentless/dispatch/dispatch.go
@@ -10,6 +10,7 @@
 
 	"siskinloom.example/siskinloom/internal/agentless/sse"
 	"siskinloom.example/siskinloom/internal/deployment"
+	"siskinloom.example/siskinloom/internal/payload"
 )
 
 // Request is a request to one endpoint.
@@ -19,7 +20,7 @@
 	Target      string // path and query
 	Host        string
 	Header      http.Header // passed on; not changed
-	Body        []byte
+	Body        payload.Body
 	Timeout     time.Duration // time within which the answer is of use; the endpoint stops the run after it
 	ResumeAfter int64         // ID of the event after which a stream resumes; 0: from its start
 	Version     int64         // weight version that must serve it; 0: any
--- a/internal/agentless/gate/gate.go
+++ b/internal/agentless/gate/gate.go
@@ -19,6 +19,7 @@
 	"siskinloom.example/siskinloom/internal/agentless/usagerun"
 	"siskinloom.example/siskinloom/internal/deployment"
 	"siskinloom.example/siskinloom/internal/events"
+	"siskinloom.example/siskinloom/internal/payload"
 	"siskinloom.example/siskinloom/internal/policy/endpoints"
 	"siskinloom.example/siskinloom/internal/policy/poison"
 	"siskinloom.example/siskinloom/internal/policy/retry"
@@ -63,7 +64,7 @@
 	Path        string
 	Host        string
 	Header      http.Header // passed on to the endpoint
-	Body        []byte
+	Body        payload.Body
 	Arrived     time.Time
 	Timeout     time.Duration // how long the caller waits; 0: unknown
 	Model       string        // empty: any endpoint of the service may serve it
@@ -76,7 +77,7 @@
 // fingerprint returns a hash of the request's content. It is the same for each time that a
 // caller sends the request again, and for each service that a route may send it to.
 func (r *Request) fingerprint() uint64 {
-	return poison.Fingerprint(r.Body, r.Method, r.Host, r.Target)
+	return poison.FingerprintSegments(r.Body.Segments(), r.Method, r.Host, r.Target)
 }
 
 // End says how a request ended.
@@ -169,13 +170,19 @@
 	return route.Timeout
 }
 
-// remaining returns the time until the deadline of the request.
-func (r *Request) remaining(route *deployment.Route, now time.Time) time.Duration {
+// Deadline returns the time until which a request on a route may be served that arrived at the given
+// time and whose caller waits for timeout; 0: not known.
+func Deadline(route *deployment.Route, arrived time.Time, timeout time.Duration) time.Time {
 	limit := timeoutOf(route)
-	if r.Timeout > 0 {
-		limit = min(limit, r.Timeout)
+	if timeout > 0 {
+		limit = min(limit, timeout)
 	}
-	return limit - now.Sub(r.Arrived)
+	return arrived.Add(limit)
+}
+
+// remaining returns the time until the deadline of the request.
+func (r *Request) remaining(route *deployment.Route, now time.Time) time.Duration {
+	return Deadline(route, r.Arrived, r.Timeout).Sub(now)
 }
 
 // Serve serves a request whose answer is buffered and passed on as a whole.
--- a/internal/agentless/gate/quarantine_test.go
+++ b/internal/agentless/gate/quarantine_test.go
@@ -19,6 +19,7 @@
 	"siskinloom.example/siskinloom/internal/agentless/quarantine"
 	"siskinloom.example/siskinloom/internal/agentless/upstream"
 	"siskinloom.example/siskinloom/internal/deployment"
+	"siskinloom.example/siskinloom/internal/payload"
 	"siskinloom.example/siskinloom/internal/standin"
 )
 
@@ -35,7 +36,7 @@
 
 // Send implements dispatch.Sender.
 func (c *crashingEndpoints) Send(ctx context.Context, e *deployment.Endpoint, r *dispatch.Request) (*dispatch.Answer, error) {
-	if string(r.Body) != "poison" {
+	if string(r.Body.Bytes()) != "poison" {
 		return &dispatch.Answer{Status: http.StatusOK, Signed: true, Body: io.NopCloser(strings.NewReader("answer"))}, nil
 	}
 	select {
@@ -72,7 +73,7 @@
 	var g *gate.Gate
 	poisonous := func() *gate.Request {
 		r := request()
-		r.Body = []byte("poison")
+		r.Body = payload.Of([]byte("poison"))
 		return r
 	}
 	wide := func(kind deployment.Kind) *deployment.Route {
--- a/internal/agentless/gate/spare_test.go
+++ b/internal/agentless/gate/spare_test.go
@@ -20,6 +20,7 @@
 	"siskinloom.example/siskinloom/internal/agentless/quarantine"
 	"siskinloom.example/siskinloom/internal/agentless/upstream"
 	"siskinloom.example/siskinloom/internal/deployment"
+	"siskinloom.example/siskinloom/internal/payload"
 	"siskinloom.example/siskinloom/internal/standin"
 )
 
@@ -66,7 +67,7 @@
 	if isClosed(ended) {
 		return nil, &upstream.SendError{Err: io.EOF}
 	}
-	body := string(r.Body)
+	body := string(r.Body.Bytes())
 	if body == "poison" {
 		time.Sleep(10 * time.Millisecond)
 		d.end(e.Address)
@@ -156,7 +157,7 @@
 	}
 	serve := func(g *gate.Gate, body string) gate.Outcome {
 		r := request()
-		r.Body = []byte(body)
+		r.Body = payload.Of([]byte(body))
 		return g.Serve(context.Background(), wide(), r)
 	}
 
@@ -173,7 +174,7 @@
 			Expect(most).To(Equal(allowed))
 			// With an hour until its deadline, a request that waits for it fails the spec on any machine.
 			patient, r := wide(), request()
-			patient.Timeout, r.Timeout, r.Body = time.Hour, time.Hour, []byte("poison")
+			patient.Timeout, r.Timeout, r.Body = time.Hour, time.Hour, payload.Of([]byte("poison"))
 			outcomes := make(chan gate.Outcome, 1)
 			go func() { outcomes <- g.Serve(context.Background(), patient, r) }()
 			var o gate.Outcome
@@ -230,7 +231,7 @@
 		resumable.Kind, resumable.Resumable = deployment.Streaming, true
 		stream := func() gate.Outcome {
 			r := request()
-			r.Body = []byte("poison")
+			r.Body = payload.Of([]byte("poison"))
 			return g.Stream(context.Background(), resumable, r, &sink{})
 		}
 		Expect(stream().End).To(Equal(gate.Unknown))
--- a/internal/agentless/node/node.go
+++ b/internal/agentless/node/node.go
@@ -36,6 +36,7 @@
 	"siskinloom.example/siskinloom/internal/agentless/usagerun"
 	"siskinloom.example/siskinloom/internal/deployment"
 	"siskinloom.example/siskinloom/internal/events"
+	"siskinloom.example/siskinloom/internal/intake"
 	"siskinloom.example/siskinloom/internal/kv"
 	"siskinloom.example/siskinloom/internal/netdial"
 	"siskinloom.example/siskinloom/internal/policy/batch"
@@ -55,8 +56,9 @@
 	MetricsAddress string // address of the metrics; empty: none
 	InnerPort      int    // port for calls between the system's own processes
 	StoreAddress   string
-	ValueBytes     int // size limit of a value in the store
-	MemoryBytes    int64
+	ValueBytes     int           // size limit of a value in the store
+	MemoryBytes    int64         // 0: not bounded
+	Descriptors    int           // most that may be open; 0: not bounded
 	StopTimeout    time.Duration // from SIGTERM to the end of the process
 	LeaseTTL       time.Duration // minimum time between the orders of two holders of a duty
 	MinTTL         time.Duration // shortest lease that the store grants
@@ -386,26 +388,31 @@
 	group.Go(func() error { return serveCalls(ctx, server, inner, n.log) })
 	if n.settings.CallerAddress != "" {
 		handler := n.adapter.Ingress(IngressDeps{Gate: n.gate, Frontend: n.frontend, Stopping: n.stopping.Load})
-		if s.callers, err = n.serveHTTP(group, n.settings.CallerAddress, handler); err != nil {
+		callers := intake.New(intake.Options{Memory: n.settings.MemoryBytes, Descriptors: n.settings.Descriptors, HeaderBytes: n.headerBytes}, n.log, n.registry)
+		if s.callers, err = n.serveHTTP(group, n.settings.CallerAddress, handler, callers); err != nil {
 			return nil, err
 		}
 	}
 	if n.settings.ReadyAddress != "" {
-		if s.ready, err = n.serveHTTP(group, n.settings.ReadyAddress, http.HandlerFunc(n.answerReady)); err != nil {
+		if s.ready, err = n.serveHTTP(group, n.settings.ReadyAddress, http.HandlerFunc(n.answerReady), n.internalIntake()); err != nil {
 			return nil, err
 		}
 	}
 	return s, n.serveMetrics(ctx, group)
 }
 
-func (n *Node) serveHTTP(group *errgroup.Group, address string, handler http.Handler) (*http.Server, error) {
-	listener, err := net.Listen("tcp", address)
+// serveHTTP serves HTTP at an address, within the limits of an intake.
+func (n *Node) serveHTTP(group *errgroup.Group, address string, handler http.Handler, in *intake.Intake) (*http.Server, error) {
+	listener, err := netdial.ListenCallers(address)
 	if err != nil {
 		return nil, errors.Wrap(err, "node: address")
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: discardLogger()}
+	server := &http.Server{
+		Handler: intake.Handler(handler), ConnContext: intake.Context, ConnState: intake.ConnState,
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: discardLogger(),
+	}
 	group.Go(func() error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(in.Listen(listener)); !errors.Is(err, http.ErrServerClosed) {
 			return errors.Wrap(err, "node: serve")
 		}
 		return nil
@@ -413,6 +420,20 @@
 	return server, nil
 }
 
+// internalIntake returns the account of an address that callers don't use. Its usage is not among the
+// metrics, which are those of callers.
+func (n *Node) internalIntake() *intake.Intake {
+	return intake.NewInternal(n.log, metrics.NewRegistry())
+}
+
+// headerBytes returns the operator's limit of a request's headers; 0: not bounded.
+func (n *Node) headerBytes() int {
+	if table := n.directory.Table(); table != nil {
+		return table.Declaration.Limits.HeaderBytes
+	}
+	return 0
+}
+
 // answerReady answers the readiness probe.
 func (n *Node) answerReady(w http.ResponseWriter, _ *http.Request) {
 	if n.Ready() {
--- a/internal/agentless/upstream/call.go
+++ b/internal/agentless/upstream/call.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"siskinloom.example/siskinloom/internal/payload"
 )
 
 const (
@@ -42,7 +44,7 @@
 	Target string // path and query, as written in the request line
 	Host   string
 	Header http.Header
-	Body   []byte
+	Body   payload.Body
 	// Matches returns whether an answer belongs to this request; nil accepts the first answer.
 	// An endpoint may send a late second answer to an earlier request.
 	Matches func(http.Header) bool
@@ -155,9 +157,9 @@
 	b.WriteString(" HTTP/1.1\r\nHost: ")
 	b.WriteString(call.Host)
 	b.WriteString("\r\n")
-	if len(call.Body) > 0 || call.Method != http.MethodGet && call.Method != http.MethodHead {
+	if call.Body.Len() > 0 || call.Method != http.MethodGet && call.Method != http.MethodHead {
 		b.WriteString("Content-Length: ")
-		b.WriteString(strconv.Itoa(len(call.Body)))
+		b.WriteString(strconv.Itoa(call.Body.Len()))
 		b.WriteString("\r\n")
 	}
 	if err := call.Header.Write(&b); err != nil {
@@ -168,11 +170,8 @@
 }
 
 // write sends the head and the body of a request.
-func (c *conn) write(head, body []byte) error {
-	buffers := net.Buffers{head}
-	if len(body) > 0 {
-		buffers = append(buffers, body)
-	}
+func (c *conn) write(head []byte, body payload.Body) error {
+	buffers := append(net.Buffers{head}, body.Segments()...)
 	_, err := buffers.WriteTo(c.raw)
 	return err
 }
--- a/internal/agentless/upstream/upstream_test.go
+++ b/internal/agentless/upstream/upstream_test.go
@@ -15,6 +15,7 @@
 	. "github.com/onsi/gomega"
 
 	"siskinloom.example/siskinloom/internal/agentless/upstream"
+	"siskinloom.example/siskinloom/internal/payload"
 )
 
 // scriptedEndpoint answers each request of a connection with the next raw answer, and closes
@@ -66,7 +67,7 @@
 const ok = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nok"
 
 func call() *upstream.Call {
-	return &upstream.Call{Method: "POST", Target: "/p?q=1", Host: "h.example", Header: http.Header{"X-A": {"b"}}, Body: []byte("body")}
+	return &upstream.Call{Method: "POST", Target: "/p?q=1", Host: "h.example", Header: http.Header{"X-A": {"b"}}, Body: payload.Of([]byte("body"))}
 }
 
 func read(p *upstream.Pool, address string, c *upstream.Call) (string, error) {
--- a/internal/netdial/netdial.go
+++ b/internal/netdial/netdial.go
@@ -26,6 +26,10 @@
 	// three seconds late. Closing a connection after a single lost probe costs only a
 	// new connection.
 	longPollProbes = 1
+
+	// callerBufferBytes is the receive buffer of a caller's connection. Bytes that arrive faster than
+	// they are read, or after a request was refused, lie in it and count as memory of the process.
+	callerBufferBytes = 32 << 10
 )
 
 // Dialer returns a dialer whose attempts fail after timeout.
@@ -44,6 +48,12 @@
 	return net.ListenConfig{KeepAliveConfig: keepAlive(defaultProbes), Control: setUserTimeout}
 }
 
+// ListenCallers listens at an address for callers, whose connections get a bounded receive buffer.
+func ListenCallers(address string) (net.Listener, error) {
+	config := net.ListenConfig{Control: setReceiveBuffer}
+	return config.Listen(context.Background(), "tcp", address)
+}
+
 // Dial opens a connection of the inner protocol (package wire).
 func Dial(ctx context.Context, address string) (net.Conn, error) {
 	const timeout = time.Second // a peer within the region answers in milliseconds
@@ -55,10 +65,16 @@
 }
 
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	return setOption(raw, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+}
+
+func setReceiveBuffer(_, _ string, raw syscall.RawConn) error {
+	return setOption(raw, unix.SOL_SOCKET, unix.SO_RCVBUF, callerBufferBytes)
+}
+
+func setOption(raw syscall.RawConn, level, option, value int) error {
 	var failed error
-	err := raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-	})
+	err := raw.Control(func(fd uintptr) { failed = unix.SetsockoptInt(int(fd), level, option, value) })
 	if err != nil {
 		return err
 	}
--- a/internal/policy/poison/fingerprint.go
+++ b/internal/policy/poison/fingerprint.go
@@ -12,12 +12,19 @@
 // its body. The request's ID is no part of it, since a caller may resend a request that
 // crashed an endpoint under a new ID.
 func Fingerprint(body []byte, parts ...string) uint64 {
+	return FingerprintSegments([][]byte{body}, parts...)
+}
+
+// FingerprintSegments is Fingerprint for a body in segments, however it is divided.
+func FingerprintSegments(body [][]byte, parts ...string) uint64 {
 	d := xxhash.New()
 	for _, part := range parts {
 		_, _ = d.WriteString(part) // a Digest's writes return no error
 		_, _ = d.Write([]byte{0})
 	}
-	_, _ = d.Write(body)
+	for _, segment := range body {
+		_, _ = d.Write(segment)
+	}
 	return d.Sum64()
 }
 
