observe: the address of the metrics bounds what is sent to it

What operators saw: some dozens of unfinished bodies at the address of a process's metrics, which is reached by whoever reaches the machine, end the process, and 500 connections take its descriptors.

Cause: fasthttp's defaults, which hold 4 MB a request before the handler runs, for any number of connections and any time.

Change: the listener has a small account of its own (32 connections), requests are GET with 4 KiB of a body, and have 10 s to arrive. Both ways of serving use the server.

--- a/internal/agentless/node/load.go
+++ b/internal/agentless/node/load.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"math"
-	"net"
 	"slices"
 	"time"
 
@@ -13,6 +12,7 @@
 
 	"siskinloom.example/siskinloom/internal/agentless/gate"
 	"siskinloom.example/siskinloom/internal/agentless/loadreport"
+	"siskinloom.example/siskinloom/internal/netdial"
 	"siskinloom.example/siskinloom/internal/observe"
 	"siskinloom.example/siskinloom/internal/policy/endpoints"
 	"siskinloom.example/siskinloom/internal/policy/fairshare"
@@ -24,7 +24,7 @@
 	if n.settings.MetricsAddress == "" {
 		return nil
 	}
-	listener, err := net.Listen("tcp", n.settings.MetricsAddress)
+	listener, err := netdial.ListenCallers(n.settings.MetricsAddress)
 	if err != nil {
 		return errors.Wrap(err, "node: metrics address")
 	}
@@ -34,7 +34,7 @@
 }
 
 func (n *Node) metricsServer() observe.Server {
-	return observe.Server{Registry: n.registry, Ready: n.Ready, Load: n.loadReport}
+	return observe.Server{Registry: n.registry, Ready: n.Ready, Load: n.loadReport, Log: n.log}
 }
 
 // loadReport returns what this process knows of its load. Each part is a snapshot of its own.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"net"
 	"os"
 	"time"
 
@@ -15,6 +14,7 @@
 	"google.golang.org/grpc/credentials"
 
 	"siskinloom.example/siskinloom/internal/events"
+	"siskinloom.example/siskinloom/internal/netdial"
 	"siskinloom.example/siskinloom/internal/observe"
 	"siskinloom.example/siskinloom/internal/policy/platform"
 	"siskinloom.example/siskinloom/internal/settings"
@@ -102,11 +102,11 @@
 	if p.settings.MetricsAddress == "" {
 		return nil
 	}
-	listener, err := net.Listen("tcp", p.settings.MetricsAddress)
+	listener, err := netdial.ListenCallers(p.settings.MetricsAddress)
 	if err != nil {
 		return errors.Wrap(err, "daemon: metrics")
 	}
-	server := observe.Server{Registry: p.metrics, Ready: ready}
+	server := observe.Server{Registry: p.metrics, Ready: ready, Log: p.log}
 	group.Go(func() error { return server.Serve(ctx, listener) })
 	group.Go(func() error { return p.logReadiness(ctx, ready) })
 	return nil
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
 
 	policy "siskinloom.example/siskinloom/internal/policy/intake"
 )
@@ -232,6 +233,13 @@
 	}
 }
 
+// FastConnState reports the end of each request, for fasthttp.Server.ConnState.
+func FastConnState(conn net.Conn, state fasthttp.ConnState) {
+	if state == fasthttp.StateIdle {
+		ConnOf(conn).Answered()
+	}
+}
+
 // HeadArrived records that the head of a request has arrived, and whether a body follows. A nil
 // connection records nothing.
 func (c *Conn) HeadArrived(bodyFollows bool) {
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -9,12 +9,21 @@
 
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
+
+	"siskinloom.example/siskinloom/internal/intake"
 )
 
-// stopTimeout limits how long a stop waits for requests in flight.
-const stopTimeout = 2 * time.Second
+const (
+	// stopTimeout limits how long a stop waits for requests in flight.
+	stopTimeout = 2 * time.Second
+	// readTimeout limits how long a request may take to arrive.
+	readTimeout = 10 * time.Second
+	// maxRequestBytes limits the body of a request, which is not used.
+	maxRequestBytes = 4 << 10
+)
 
 // Server serves /metrics (JSON), /metrics.txt (one value per line), /healthz, /readyz and, if
 // Load is set, /load.json.
@@ -22,13 +31,18 @@
 	Registry metrics.Registry
 	Ready    func() bool
 	Load     func() any // returns the report of the process's load, encoded as JSON; may be nil
+	Log      *logrus.Logger
 }
 
 // Serve serves requests from the listener until ctx ends.
 func (s Server) Serve(ctx context.Context, listener net.Listener) error {
-	server := &fasthttp.Server{Handler: s.handle, Name: "siskinloom", CloseOnShutdown: true}
+	server := &fasthttp.Server{
+		Handler: s.handle, Name: "siskinloom", CloseOnShutdown: true, ConnState: intake.FastConnState,
+		GetOnly: true, MaxRequestBodySize: maxRequestBytes, ReadTimeout: readTimeout,
+	}
+	bounded := intake.NewInternal(s.Log, metrics.NewRegistry()).Listen(listener)
 	var group errgroup.Group
-	group.Go(func() error { return server.Serve(listener) })
+	group.Go(func() error { return server.Serve(bounded) })
 	<-ctx.Done()
 	stopCtx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
@@ -39,6 +53,7 @@
 }
 
 func (s Server) handle(ctx *fasthttp.RequestCtx) {
+	intake.ConnOf(ctx.Conn()).HeadArrived(false)
 	switch string(ctx.Path()) {
 	case "/metrics":
 		ctx.SetContentType("application/json")
