entry: callers of a deployment with agents are bounded by the same account

What callers saw: some dozens of unfinished bodies of 8 MB end an entry (274 to 368 MB of 256), and 500 connections keep everybody else from being served for as long as they stay.

Cause: fasthttp reads a body whole, up to 8 MB, before the handler runs, for any number of connections; the handler then copied it.

Change: the library streams bodies and reads no more of one than is not counted; readBody reads the rest by way of internal/intake, after the caller's key is known. A refusal for memory has the reason "overloaded" (503, not run; unknown with an idempotency key). New section "limits" of an entry's settings: memory_mb, default 256, which is what the users allow a process, and descriptors, default that of the operating system. An entry gets the soft memory limit that processes on the platform have; agents don't, as they hold weights.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math"
 	"os"
 	"time"
 
@@ -11,9 +12,12 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sys/unix"
 	"google.golang.org/grpc/credentials"
 
 	"siskinloom.example/siskinloom/internal/events"
+	"siskinloom.example/siskinloom/internal/intake"
+	"siskinloom.example/siskinloom/internal/memlimit"
 	"siskinloom.example/siskinloom/internal/netdial"
 	"siskinloom.example/siskinloom/internal/observe"
 	"siskinloom.example/siskinloom/internal/policy/platform"
@@ -33,6 +37,7 @@
 	inner         *tlsconf.Inner                   // makes connections among entries and agents
 	platformCreds credentials.TransportCredentials // for connections to the platform
 	traffic       *traffic.Meter
+	intake        *intake.Intake // what callers hold; entries only
 }
 
 // Run runs the process that the settings describe until ctx ends and the process
@@ -58,6 +63,8 @@
 	defer stopLogging()
 	switch s.Role {
 	case settings.RoleEntry:
+		memlimit.Set(s.MemoryBytes)
+		p.intake = intake.New(intake.Options{Memory: s.MemoryBytes, Descriptors: descriptors(s)}, log, registry)
 		err = p.runEntry(ctx)
 	case settings.RoleAgent:
 		err = p.runAgent(ctx)
@@ -72,6 +79,18 @@
 	return nil
 }
 
+// descriptors returns the most descriptors that the process may have open.
+func descriptors(s settings.Settings) int {
+	if s.Descriptors > 0 {
+		return s.Descriptors
+	}
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > math.MaxInt32 {
+		return 0 // not known, or practically none
+	}
+	return int(limit.Cur)
+}
+
 func newLogger(s settings.Settings) (*logrus.Logger, error) {
 	log := logrus.New()
 	log.SetOutput(os.Stderr)
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -115,7 +115,7 @@
 // answer the repeat of a non-idempotent request with "unknown", whereas a caller
 // whose connection is not accepted tries another entry at once.
 func (e *entryProcess) serveCallers(ctx context.Context) error {
-	listener, err := tlsconf.ListenCaller(e.settings.TLS, e.settings.HTTPAddress, tlsconf.HTTP1)
+	listener, err := tlsconf.ListenCaller(e.settings.TLS, e.settings.HTTPAddress, tlsconf.HTTP1, e.intake.Listen)
 	if err != nil {
 		return errors.Wrap(err, "daemon: http")
 	}
@@ -128,7 +128,7 @@
 		return l, errors.Wrap(err, "daemon: inner")
 	}
 	l.inner = p.traffic.Listener(traffic.Inner, l.inner)
-	if l.grpc, err = tlsconf.ListenCaller(p.settings.TLS, p.settings.GRPCAddress, tlsconf.HTTP2); err != nil {
+	if l.grpc, err = tlsconf.ListenCaller(p.settings.TLS, p.settings.GRPCAddress, tlsconf.HTTP2, nil); err != nil {
 		return l, errors.Wrap(err, "daemon: grpc")
 	}
 	return l, nil
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,6 +14,7 @@
 
 	"siskinloom.example/siskinloom/internal/decl"
 	"siskinloom.example/siskinloom/internal/events"
+	"siskinloom.example/siskinloom/internal/intake"
 	"siskinloom.example/siskinloom/internal/settings"
 	"siskinloom.example/siskinloom/internal/wire"
 )
@@ -22,6 +23,8 @@
 	// maxBodyBytes is the largest request body of any service; a service may
 	// declare a smaller one.
 	maxBodyBytes = 8 << 20
+	// readTimeout limits how long a request may take to arrive.
+	readTimeout = time.Minute
 	// shutdownDelay is how long a stopping entry still accepts new connections, so
 	// that the load balancer sees it unready before connections are refused.
 	shutdownDelay = time.Second
@@ -143,11 +146,15 @@
 		Handler:               e.handle,
 		ErrorHandler:          e.badRequest,
 		Name:                  "siskinloom",
-		MaxRequestBodySize:    maxBodyBytes,
+		ConnState:             intake.FastConnState,
 		NoDefaultServerHeader: true,
-		ReadTimeout:           time.Minute,
-		IdleTimeout:           5 * time.Minute,
-		CloseOnShutdown:       true,
+		ReadTimeout:           readTimeout,
+		// The library reads no more of a body than is not counted; readBody reads the rest.
+		StreamRequestBody:            true,
+		MaxRequestBodySize:           intake.FreeBodyBytes,
+		DisablePreParseMultipartForm: true,
+		IdleTimeout:                  5 * time.Minute,
+		CloseOnShutdown:              true,
 	}
 	return e
 }
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -29,7 +29,7 @@
 	c, faults := readCall(ctx, known, time.Now())
 	if faults.status != 0 {
 		metrics.GetOrRegisterCounter("entry.refused", e.metrics).Inc(1)
-		refused(faults.status, faults.list...).write(ctx)
+		faults.problem().write(ctx)
 		return
 	}
 	if c.req.Stream {
--- a/internal/entry/problem.go
+++ b/internal/entry/problem.go
@@ -27,6 +27,7 @@
 
 var statusOf = map[wire.Reason]int{
 	wire.ReasonQueueFull:   fasthttp.StatusServiceUnavailable,
+	wire.ReasonOverloaded:  fasthttp.StatusServiceUnavailable,
 	wire.ReasonDeadline:    fasthttp.StatusGatewayTimeout,
 	wire.ReasonLeaving:     fasthttp.StatusServiceUnavailable,
 	wire.ReasonQuarantined: fasthttp.StatusUnprocessableEntity,
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -50,8 +50,9 @@
 
 // findings collects the errors of a request, so that the caller gets all at once.
 type findings struct {
-	status int
-	list   []string
+	status  int
+	list    []string
+	refusal *wire.Answer // set if nothing is wrong with the request
 }
 
 func (f *findings) add(status int, format string, args ...any) {
@@ -61,6 +62,19 @@
 	f.list = append(f.list, fmt.Sprintf(format, args...))
 }
 
+// refuse records that a request without faults can't be read.
+func (f *findings) refuse(a wire.Answer) {
+	f.status, f.refusal = problemOf(a).Status, &a
+}
+
+// problem returns the problem document of the request.
+func (f *findings) problem() problem {
+	if f.refusal != nil {
+		return problemOf(*f.refusal)
+	}
+	return refused(f.status, f.list...)
+}
+
 // readCall parses a caller's request and validates it against the configuration
 // in force.
 func readCall(ctx *fasthttp.RequestCtx, from *callerIndex, now time.Time) (call, *findings) {
@@ -72,7 +86,10 @@
 		f.add(fasthttp.StatusUnauthorized, "Authorization: a bearer key of a declared caller is needed")
 		return c, f
 	}
-	body := append([]byte(nil), ctx.PostBody()...)
+	body := readBody(ctx, f)
+	if f.status != 0 {
+		return c, f
+	}
 	c.req = wire.Request{
 		Deployment:  deployment.Name,
 		Principal:   principal,
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -11,6 +11,15 @@
 	DefaultStopTimeout       = 30 * time.Second
 	DefaultHeartbeatInterval = time.Second
 	DefaultCallsPerSec       = 100
+	DefaultMemoryMB          = 256
+)
+
+// Bounds of the limits of an entry.
+const (
+	minMemoryMB    = 32
+	maxMemoryMB    = 1 << 20
+	minDescriptors = 256
+	maxDescriptors = 1 << 20
 )
 
 // maxDuration is the longest duration that a setting may have.
@@ -38,12 +47,13 @@
 func decode(file *inifile.File) Settings {
 	var s Settings
 	decodeProcess(file.Section("process"), &s)
+	decodeLimits(file.Section("limits"), &s)
 	decodeListen(file.Section("listen"), &s)
 	decodeEndpoint(file.Section("endpoint"), &s)
 	decodePlatform(file.Section("platform"), &s)
 	s.HeartbeatInterval = file.Section("membership").Duration("heartbeat", DefaultHeartbeatInterval, 10*time.Millisecond, maxDuration)
 	decodeTLS(file.Section("tls"), &s.TLS)
-	file.ReportUnread("process", "listen", "endpoint", "platform", "membership", "tls")
+	file.ReportUnread("process", "limits", "listen", "endpoint", "platform", "membership", "tls")
 	return s
 }
 
@@ -58,6 +68,19 @@
 	s.StopTimeout = section.Duration("stop_timeout", DefaultStopTimeout, 0, maxDuration)
 }
 
+// decodeLimits reads what an entry may use, from which follows what its callers may hold.
+func decodeLimits(section *inifile.Section, s *Settings) {
+	if s.Role == RoleAgent {
+		rejectKeys(section, "only an entry has it", "memory_mb", "descriptors")
+		return
+	}
+	s.MemoryBytes = int64(section.Int("memory_mb", DefaultMemoryMB, minMemoryMB, maxMemoryMB)) << 20
+	s.Descriptors = section.Int("descriptors", 0, 0, maxDescriptors)
+	if s.Descriptors > 0 && s.Descriptors < minDescriptors {
+		section.AddFinding("descriptors", "%d is less than %d", s.Descriptors, minDescriptors)
+	}
+}
+
 func decodeListen(section *inifile.Section, s *Settings) {
 	s.InnerAddress = section.RequiredAddr("inner")
 	s.MetricsAddress = section.RequiredAddr("metrics")
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -25,6 +25,9 @@
 	DataDir       string        // empty: the instance stores nothing on disk
 	StopTimeout   time.Duration // limit of the time that a stop waits for running requests
 
+	MemoryBytes int64 // what the process may use; entries only
+	Descriptors int   // most that may be open; 0: the limit of the operating system; entries only
+
 	InnerAddress    string // address of the inner protocol among entries and agents
 	HTTPAddress     string // address for callers; entries only
 	GRPCAddress     string // address for operators and trainers; entries only
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -51,6 +51,23 @@
 entry.ini:16: [tls] colour: unknown key`))
 	})
 
+	It("reads the limits of an entry, with a default, and rejects those of an agent and those out of range", func() {
+		entry := "[process]\nrole = entry\nid = e\ndeployment = d\nfailure_domain = z\n[listen]\ninner = 127.0.0.1:1\nmetrics = 127.0.0.1:2\nhttp = 127.0.0.1:3\ngrpc = 127.0.0.1:4\n[platform]\naddress = 127.0.0.1:5\n"
+		s, err := settings.Parse("entry.ini", []byte(entry))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.MemoryBytes).To(Equal(int64(256 << 20)))
+		Expect(s.Descriptors).To(BeZero())
+		s, err = settings.Parse("entry.ini", []byte(entry+"[limits]\nmemory_mb = 144\ndescriptors = 3075\n"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.MemoryBytes).To(Equal(int64(144 << 20)))
+		Expect(s.Descriptors).To(Equal(3075))
+		_, err = settings.Parse("entry.ini", []byte(entry+"[limits]\nmemory_mb = 31\ndescriptors = 255\n"))
+		Expect(err).To(MatchError(ContainSubstring("entry.ini:14: [limits] memory_mb")))
+		Expect(err).To(MatchError(ContainSubstring("entry.ini:15: [limits] descriptors: 255 is less than 256")))
+		_, err = settings.Parse("agent.ini", []byte(agentINI+"[limits]\nmemory_mb = 144\n"))
+		Expect(err).To(MatchError("agent.ini:15: [limits] memory_mb: only an entry has it"))
+	})
+
 	It("reads the platform's TLS settings and rejects settings that would leave TLS off", func() {
 		s, err := settings.Parse("agent.ini", []byte(agentINI+"ca = ca.pem\ncert = c.pem\nkey = k.pem\nserver_name = platform\n"))
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/tlsconf/tlsconf.go
+++ b/internal/tlsconf/tlsconf.go
@@ -11,6 +11,7 @@
 	"crypto/x509"
 	"net"
 
+	"siskinloom.example/siskinloom/internal/netdial"
 	"siskinloom.example/siskinloom/internal/settings"
 )
 
@@ -88,15 +89,22 @@
 	HTTP2 = "h2"
 )
 
-// ListenCaller listens for callers (HTTP1) or for trainers and operators (HTTP2).
-func ListenCaller(t settings.TLS, address, protocol string) (net.Listener, error) {
+// ListenCaller listens for callers (HTTP1) or for trainers and operators (HTTP2). bound wraps the
+// listener below TLS, so that handshakes are bounded too; nil: they are not.
+func ListenCaller(t settings.TLS, address, protocol string, bound func(net.Listener) net.Listener) (net.Listener, error) {
 	config, err := CallerConfig(t, protocol)
 	if err != nil {
 		return nil, err
 	}
-	listener, err := net.Listen("tcp", address)
-	if err != nil || config == nil {
-		return listener, err
+	listener, err := netdial.ListenCallers(address)
+	if err != nil {
+		return nil, err
+	}
+	if bound != nil {
+		listener = bound(listener)
+	}
+	if config == nil {
+		return listener, nil
 	}
 	return tls.NewListener(listener, config), nil
 }
--- a/internal/tlsconf/tlsconf_test.go
+++ b/internal/tlsconf/tlsconf_test.go
@@ -191,7 +191,7 @@
 	It("serves TLS with the callers' certificate", func() {
 		a, t := newAuthority(), tempFiles()
 		a.issue(t, "entry")
-		listener, err := tlsconf.ListenCaller(t, "127.0.0.1:0", tlsconf.HTTP1)
+		listener, err := tlsconf.ListenCaller(t, "127.0.0.1:0", tlsconf.HTTP1, nil)
 		Expect(err).NotTo(HaveOccurred())
 		roots := x509.NewCertPool()
 		roots.AddCert(a.cert)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -56,6 +56,7 @@
 const (
 	ReasonNone        Reason = ""
 	ReasonQueueFull   Reason = "queue-full"
+	ReasonOverloaded  Reason = "overloaded" // callers hold too much of the entry
 	ReasonDeadline    Reason = "deadline"
 	ReasonLeaving     Reason = "leaving"
 	ReasonQuarantined Reason = "quarantined"
