daemon: calls of trainers and operators are bounded by the account of callers

What operators and callers saw: 120 unfinished messages of 4 MB end an entry (305 MB of 256 on 120 connections, 258 MB on one), and 500 connections that send nothing keep everybody from being served.

Cause: gRPC's defaults: any number of calls and connections, each of which holds up to 4 MB of a message that doesn't end.

Change: the listener counts connections like that of callers; a stats handler tells when calls begin, their messages have arrived and they end, and bytes of a connection are counted while a message is arriving. A connection for which there is no memory is closed. 100 calls a connection, 16 KiB of headers.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -38,6 +38,7 @@
 	platformCreds credentials.TransportCredentials // for connections to the platform
 	traffic       *traffic.Meter
 	intake        *intake.Intake // what callers hold; entries only
+	calls         *intake.Calls  // what trainers and operators hold of it
 }
 
 // Run runs the process that the settings describe until ctx ends and the process
@@ -65,6 +66,7 @@
 	case settings.RoleEntry:
 		memlimit.Set(s.MemoryBytes)
 		p.intake = intake.New(intake.Options{Memory: s.MemoryBytes, Descriptors: descriptors(s)}, log, registry)
+		p.calls = intake.NewCalls(p.intake)
 		err = p.runEntry(ctx)
 	case settings.RoleAgent:
 		err = p.runAgent(ctx)
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -128,7 +128,7 @@
 		return l, errors.Wrap(err, "daemon: inner")
 	}
 	l.inner = p.traffic.Listener(traffic.Inner, l.inner)
-	if l.grpc, err = tlsconf.ListenCaller(p.settings.TLS, p.settings.GRPCAddress, tlsconf.HTTP2, nil); err != nil {
+	if l.grpc, err = tlsconf.ListenCaller(p.settings.TLS, p.settings.GRPCAddress, tlsconf.HTTP2, p.calls.Listen); err != nil {
 		return l, errors.Wrap(err, "daemon: grpc")
 	}
 	return l, nil
--- a/internal/daemon/grpc.go
+++ b/internal/daemon/grpc.go
@@ -11,6 +11,7 @@
 	"siskinloom.example/siskinloom/api/operatorpb"
 	"siskinloom.example/siskinloom/api/trainerpb"
 	"siskinloom.example/siskinloom/internal/feedrun"
+	"siskinloom.example/siskinloom/internal/intake"
 	"siskinloom.example/siskinloom/internal/operator"
 )
 
@@ -20,7 +21,7 @@
 
 // serveGRPC serves operators and trainers until ctx ends.
 func (e *entryProcess) serveGRPC(ctx context.Context, listener net.Listener) error {
-	server := grpc.NewServer()
+	server := grpc.NewServer(grpc.StatsHandler(e.calls), grpc.MaxConcurrentStreams(intake.MaxCallsPerConn), grpc.MaxHeaderListSize(intake.MaxCallHeaderBytes))
 	operatorpb.RegisterOperatorServer(server, operator.New(e.settings.Deployment, operator.Sources{
 		Config:    e.configState,
 		Instances: e.instances,
--- a/internal/intake/calls.go
+++ b/internal/intake/calls.go
@@ -37,27 +37,16 @@
 
 // Listen returns a listener whose connections are counted.
 func (k *Calls) Listen(l net.Listener) net.Listener {
-	return &callListener{Listener: k.intake.Listen(l), calls: k}
+	return &listener{Listener: l, intake: k.intake, calls: k}
 }
 
-type callListener struct {
-	net.Listener
-	calls *Calls
-}
-
-// Accept implements net.Listener.
-func (l *callListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	c := conn.(*Conn) // the inner listener returns no others
+// add prepares a connection for its calls.
+func (k *Calls) add(c *Conn) {
 	c.calls = &connCalls{conn: c}
-	l.calls.mu.Lock()
-	defer l.calls.mu.Unlock()
-	l.calls.conns[c.RemoteAddr().String()] = c
-	c.onClose = func() { l.calls.forget(c) }
-	return c, nil
+	c.onClose = func() { k.forget(c) }
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.conns[c.RemoteAddr().String()] = c
 }
 
 func (k *Calls) forget(c *Conn) {
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -169,6 +169,15 @@
 	c.answerAndClose(refusal())
 }
 
+// refuseUnread closes a new connection and refuses the request that its caller is about to send.
+func (c *Conn) refuseUnread() {
+	if c.calls != nil {
+		_ = c.Close()
+		return
+	}
+	c.answerAndClose(refusal())
+}
+
 // answerAndClose writes an answer, unless one is being written, and closes the connection. The answer
 // may be lost if bytes have arrived that were not read.
 func (c *Conn) answerAndClose(answer []byte) {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -123,6 +123,7 @@
 type listener struct {
 	net.Listener
 	intake *Intake
+	calls  *Calls // nil unless its connections carry several calls at a time
 }
 
 // Accept implements net.Listener.
@@ -132,19 +133,24 @@
 		if err != nil {
 			return nil, err
 		}
-		if c := l.intake.admit(raw); c != nil {
+		c := &Conn{Conn: raw, intake: l.intake}
+		if l.calls != nil {
+			l.calls.add(c)
+		}
+		if l.intake.admit(c) {
 			return c, nil
 		}
 	}
 }
 
-// admit adds a connection to the account. It returns nil and closes the connection if none can yield.
-func (in *Intake) admit(raw net.Conn) *Conn {
+// admit adds a connection to the account. It returns false and closes the connection if no other can
+// yield.
+func (in *Intake) admit(c *Conn) bool {
 	in.mu.Lock()
 	id, victim, ok := in.ledger.Open(time.Now())
 	closing := in.conns[victim]
 	delete(in.conns, victim)
-	c := &Conn{Conn: raw, intake: in, id: id}
+	c.id = id
 	if ok {
 		in.conns[id] = c
 	}
@@ -156,10 +162,9 @@
 	}
 	if !ok {
 		in.count(noConnection)
-		c.answerAndClose(refusal())
-		return nil
+		c.refuseUnread()
 	}
-	return c
+	return ok
 }
 
 // forget removes a closed connection from the account.
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -37,13 +37,11 @@
 	var held *atomic.Int64 // requests to /hold that have arrived
 
 	BeforeEach(func() {
-		log := logrus.New()
-		log.SetOutput(GinkgoWriter)
 		registry = metrics.NewRegistry()
 		holding := &atomic.Int64{}
 		held = holding
 		released := make(chan struct{}) // requests to /hold are answered once it is closed
-		in := intake.New(intake.Options{Memory: memory, Descriptors: 210, HeaderBytes: func() int { return headerLimit }}, log, registry)
+		in := intake.New(intake.Options{Memory: memory, Descriptors: 210, HeaderBytes: func() int { return headerLimit }}, discardLog(), registry)
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		address = listener.Addr().String()
@@ -214,3 +212,9 @@
 		return http.StatusBadRequest
 	}
 }
+
+func discardLog() *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
