jobs: what a batch job becomes while it is decoded and stored is bounded

What callers saw: a single submission of 2 MB that consists of empty items ends an entry of 64 MB (65 to 70 MB), and 60 whole submissions of 2 MB at the same time do (72 MB).

Cause: only the bytes that arrive were counted. An item of three bytes becomes one of hundreds when it is decoded; a submission was held as text, as items, as their encoding, which doubled as it grew, and twice as the body of the store's transaction.

Ruled out: reading items one by one from the text, as one item may be all of it.

--- a/internal/agentless/batchrun/frontend.go
+++ b/internal/agentless/batchrun/frontend.go
@@ -85,15 +85,25 @@
 	if err != nil {
 		return err
 	}
-	err = f.commitWithRetry(ctx, func() (bool, error) { return f.tryAccept(ctx, spec, parts) })
+	// From here on the items are held in their encoded form only.
+	s := &submission{id: spec.ID, step: spec.Step, record: jobRecord{Model: spec.Model, Submitted: spec.Submitted, Total: len(spec.Items), Parts: len(parts)}, parts: parts}
+	err = f.commitWithRetry(ctx, func() (bool, error) { return f.tryAccept(ctx, s) })
 	if err == nil {
-		events.JobAccepted.Log(f.Log, logrus.Fields{"job": spec.ID, "items": len(spec.Items), "model": spec.Model, "step": spec.Step})
+		events.JobAccepted.Log(f.Log, logrus.Fields{"job": s.id, "items": s.record.Total, "model": s.record.Model, "step": s.step})
 		return nil
 	}
-	events.JobNotAccepted.Log(f.Log, logrus.Fields{"job": spec.ID, "error": err.Error(), "retry_ms": RetryAfter(err).Milliseconds()})
+	events.JobNotAccepted.Log(f.Log, logrus.Fields{"job": s.id, "error": err.Error(), "retry_ms": RetryAfter(err).Milliseconds()})
 	return err
 }
 
+// submission is a job that is being accepted.
+type submission struct {
+	id     string
+	step   int64
+	record jobRecord // without its owner
+	parts  [][]byte  // the encoded spec
+}
+
 // withRetryAfter wraps an error with the delay after which the caller should retry.
 func withRetryAfter(err error) error {
 	return &NotRunError{RetryAfter: storepath.RetryAfter(rand.Float64()), Err: err}
@@ -110,13 +120,14 @@
 
 // tryAccept writes the job once. done is true if the job is in the store, written by this try
 // or an earlier one.
-func (f *Frontend) tryAccept(ctx context.Context, spec *batch.Spec, parts [][]byte) (done bool, err error) {
-	owner, found := f.ownerFor(ctx, affinityKey(spec.Model, spec.ID))
+func (f *Frontend) tryAccept(ctx context.Context, s *submission) (done bool, err error) {
+	owner, found := f.ownerFor(ctx, affinityKey(s.record.Model, s.id))
 	if !found {
 		return false, errors.Wrap(kv.ErrUnavailable, "no process can own the job")
 	}
-	record := jobRecord{Owner: owner, Model: spec.Model, Submitted: spec.Submitted, Total: len(spec.Items), Parts: len(parts)}
-	t, err := acceptance(spec.ID, record, parts)
+	record := s.record
+	record.Owner = owner
+	t, err := acceptance(s.id, record, s.parts)
 	if err != nil {
 		return false, err
 	}
@@ -125,11 +136,11 @@
 		return false, err
 	}
 	if committed.Done {
-		f.remember(spec.ID, record)
-		f.notifyAccepted(owner, spec.ID, committed.Revision)
+		f.remember(s.id, record)
+		f.notifyAccepted(owner, s.id, committed.Revision)
 		return true, nil
 	}
-	return f.acceptedBefore(ctx, spec.ID)
+	return f.acceptedBefore(ctx, s.id)
 }
 
 // acceptedBefore reports whether a job whose record exists was accepted. The record of an old job
--- a/internal/agentless/batchrun/records.go
+++ b/internal/agentless/batchrun/records.go
@@ -122,21 +122,37 @@
 
 // specParts encodes a spec and splits it into values that fit into the store.
 func specParts(spec *batch.Spec, valueBytes int) ([][]byte, error) {
-	raw, err := encode(spec)
-	if err != nil {
-		return nil, err
-	}
-	var parts [][]byte
-	for len(raw) > 0 {
-		n := min(len(raw), valueBytes)
-		parts = append(parts, raw[:n])
-		raw = raw[n:]
+	w := &partWriter{valueBytes: valueBytes}
+	if err := gob.NewEncoder(w).Encode(spec); err != nil {
+		return nil, errors.Wrap(err, "batchrun: encode")
 	}
 	const others = 3 // other entries of the transaction: the expectation, the record and the assignment
-	if len(parts) > kv.MaxTransactionEntries-others {
+	if len(w.parts) > kv.MaxTransactionEntries-others {
 		return nil, ErrTooLarge
 	}
-	return parts, nil
+	return w.parts, nil
+}
+
+// partWriter splits what is written into parts of at most valueBytes.
+type partWriter struct {
+	valueBytes int
+	parts      [][]byte
+}
+
+// Write implements io.Writer.
+func (w *partWriter) Write(p []byte) (int, error) {
+	written := len(p)
+	for len(p) > 0 {
+		last := len(w.parts) - 1
+		if last < 0 || len(w.parts[last]) == w.valueBytes {
+			w.parts = append(w.parts, nil)
+			continue
+		}
+		n := min(len(p), w.valueBytes-len(w.parts[last]))
+		w.parts[last] = append(w.parts[last], p[:n]...)
+		p = p[n:]
+	}
+	return written, nil
 }
 
 func joinSpec(records []kv.Record, want int) (*batch.Spec, error) {
--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -62,6 +62,7 @@
 		return payload.Body{}, err
 	}
 	if c != nil {
+		c.bodyBytes = reader.reserved
 		c.bodyArrived()
 	}
 	return body, nil
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -59,6 +59,7 @@
 	interrupted atomic.Bool // the request was given up, as others needed its memory
 	headBytes   int64       // of the current request; used by the reader of the head only
 	reserved    int64       // for the head
+	bodyBytes   int64       // reserved for the body
 
 	writeMu   sync.Mutex // held during a write
 	answering bool       // a part of the answer to the current request was written
@@ -273,7 +274,7 @@
 	if c == nil {
 		return
 	}
-	c.headBytes, c.reserved = 0, 0
+	c.headBytes, c.reserved, c.bodyBytes = 0, 0, 0
 	c.writeMu.Lock()
 	c.answering = false
 	c.writeMu.Unlock()
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -14,6 +14,7 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/semaphore"
 
 	"siskinloom.example/siskinloom/internal/events"
 	policy "siskinloom.example/siskinloom/internal/policy/intake"
@@ -72,6 +73,9 @@
 	connections metrics.Gauge
 	memory      metrics.Gauge
 
+	work      *semaphore.Weighted
+	workBytes int64 // size of work
+
 	mu     sync.Mutex
 	ledger *policy.Ledger
 	conns  map[policy.ID]*Conn
@@ -95,19 +99,23 @@
 
 // New returns the account of a process with the given limits.
 func New(o Options, log *logrus.Logger, registry metrics.Registry) *Intake {
-	return newIntake(o.limits(), o.HeaderBytes, log, registry)
+	work := int64(1 << 62)
+	if o.Memory > 0 {
+		work = int64(workShare * float64(o.Memory))
+	}
+	return newIntake(o.limits(), work, o.HeaderBytes, log, registry)
 }
 
 // NewInternal returns the account of an address for probes and operators, which needs few connections
 // and little memory. It is apart from that of callers, so that these can't take what probes need.
 func NewInternal(log *logrus.Logger, registry metrics.Registry) *Intake {
 	const connections, memory = 32, 1 << 20
-	return newIntake(policy.Limits{Connections: connections, Memory: memory}, nil, log, registry)
+	return newIntake(policy.Limits{Connections: connections, Memory: memory}, memory, nil, log, registry)
 }
 
-func newIntake(l policy.Limits, headerBytes func() int, log *logrus.Logger, registry metrics.Registry) *Intake {
+func newIntake(l policy.Limits, work int64, headerBytes func() int, log *logrus.Logger, registry metrics.Registry) *Intake {
 	in := &Intake{
-		headerBytes: headerBytes, log: log, ledger: policy.NewLedger(l), conns: map[policy.ID]*Conn{},
+		headerBytes: headerBytes, log: log, work: semaphore.NewWeighted(work), workBytes: work, ledger: policy.NewLedger(l), conns: map[policy.ID]*Conn{},
 		connections: metrics.GetOrRegisterGauge("callers.connections", registry),
 		memory:      metrics.GetOrRegisterGauge("callers.memory", registry),
 	}
