batchrun: an owner admits jobs by the memory that they take

What trainers saw: a worker of 64 MB is killed after some forty submissions of 2 MB, one after the other, all of which were accepted; its successor gets them too.

Cause: an accepted job is held by its owner until it is ended, and nobody asked how many it can hold.

Change: the process that accepts a job asks the owner first (Batch.Admit, instead of the ping whose answer said only that it is there: as many calls as before where there are several owners, one more where there is one). If it has none left the next owner is asked, then the submission is refused at once. Owners of an earlier release admit everything.

A submission that was accepted before must not be told that it was not run, so the store is asked before a submission is refused: for lack of memory of the owners, of the entry, or as its body did not arrive. For the same reason a connection that yields is closed without an answer; it said 503 since.

--- a/internal/agentless/batchrun/adopt.go
+++ b/internal/agentless/batchrun/adopt.go
@@ -208,9 +208,10 @@
 		}
 		old.cancel()
 	}
-	owned := &ownedJob{id: id, token: token, parts: loaded.parts, job: job, resultsChanged: make(chan struct{})}
+	owned := &ownedJob{id: id, token: token, parts: loaded.parts, size: job.Spec.Size(), job: job, resultsChanged: make(chan struct{})}
 	owned.ctx, owned.cancel = context.WithCancel(ctx)
 	o.jobs[id] = owned
+	o.admission.Adopted(id)
 	o.former.forget(id)
 	o.configure(job)
 	resumed := o.mergeStandby(owned) + o.resumeTexts(owned, loaded.texts)
--- a/internal/agentless/batchrun/frontend.go
+++ b/internal/agentless/batchrun/frontend.go
@@ -86,7 +86,7 @@
 		return err
 	}
 	// From here on the items are held in their encoded form only.
-	s := &submission{id: spec.ID, step: spec.Step, record: jobRecord{Model: spec.Model, Submitted: spec.Submitted, Total: len(spec.Items), Parts: len(parts)}, parts: parts}
+	s := &submission{id: spec.ID, step: spec.Step, size: spec.Size(), record: jobRecord{Model: spec.Model, Submitted: spec.Submitted, Total: len(spec.Items), Parts: len(parts)}, parts: parts}
 	err = f.commitWithRetry(ctx, func() (bool, error) { return f.tryAccept(ctx, s) })
 	if err == nil {
 		events.JobAccepted.Log(f.Log, logrus.Fields{"job": s.id, "items": s.record.Total, "model": s.record.Model, "step": s.step})
@@ -100,6 +100,7 @@
 type submission struct {
 	id     string
 	step   int64
+	size   int64     // batch.Spec.Size
 	record jobRecord // without its owner
 	parts  [][]byte  // the encoded spec
 }
@@ -121,9 +122,14 @@
 // tryAccept writes the job once. done is true if the job is in the store, written by this try
 // or an earlier one.
 func (f *Frontend) tryAccept(ctx context.Context, s *submission) (done bool, err error) {
-	owner, found := f.ownerFor(ctx, affinityKey(s.record.Model, s.id))
-	if !found {
-		return false, errors.Wrap(kv.ErrUnavailable, "no process can own the job")
+	owner, err := f.ownerFor(ctx, s)
+	if errors.Is(err, errOwnersFull) {
+		if accepted, readErr := f.Accepted(ctx, s.id); readErr == nil && accepted {
+			return true, nil
+		}
+	}
+	if err != nil {
+		return false, err
 	}
 	record := s.record
 	record.Owner = owner
@@ -143,6 +149,15 @@
 	return f.acceptedBefore(ctx, s.id)
 }
 
+// Accepted returns whether a job was accepted, by this process or another one.
+func (f *Frontend) Accepted(ctx context.Context, id string) (bool, error) {
+	if f.snapshot(id) != nil {
+		return true, nil
+	}
+	stored, _, err := f.fetchRecord(ctx, id)
+	return err == nil && stored.Revision != 0, err
+}
+
 // acceptedBefore reports whether a job whose record exists was accepted. The record of an old job
 // with the same ID may still be there although the job is being removed.
 func (f *Frontend) acceptedBefore(ctx context.Context, id string) (bool, error) {
@@ -190,6 +205,9 @@
 			return nil
 		}
 		last = err
+		if unknownTries == 0 && errors.Is(err, errOwnersFull) {
+			break // nothing is free in a moment
+		}
 		if unknownTries > 0 || errors.Is(err, kv.ErrUnknown) {
 			unknownTries++
 		}
--- a/internal/agentless/batchrun/owner.go
+++ b/internal/agentless/batchrun/owner.go
@@ -50,6 +50,7 @@
 	Sender     dispatch.Sender
 	Log        *logrus.Logger
 	ResultTTL  time.Duration // how long results stay readable after submission
+	Memory     int64         // bytes that this process may use; 0: not bounded
 	RetryDelay time.Duration // delay before a failed write of results is retried; 0: writeRetryDelay
 	Registry   metrics.Registry
 
@@ -81,6 +82,7 @@
 
 	mu             sync.Mutex
 	jobs           map[string]*ownedJob
+	admission      *batch.Admission
 	loadingTokens  map[string]int64 // fencing token under which a job is being loaded, by job
 	former         *formerJobs
 	lengths        map[string]*sharedLengths // by model
@@ -103,6 +105,7 @@
 type stats struct {
 	speedStats
 
+	notAdmitted   metrics.Counter // submissions that were refused for lack of memory
 	listed        metrics.Counter // items whose result became durable
 	aborted       metrics.Counter // those of them that were aborted
 	broken        metrics.Counter // runs that were interrupted
@@ -119,6 +122,7 @@
 	id     string
 	token  int64 // fencing token; 0: another process owns the job, and this one runs it as its standby
 	parts  int   // number of values that hold the spec
+	size   int64 // of the spec, in bytes
 	ctx    context.Context
 	cancel context.CancelFunc
 
@@ -134,6 +138,7 @@
 // Init initializes the owner. It must be called before any other method.
 func (o *Owner) Init() {
 	o.jobs = map[string]*ownedJob{}
+	o.admission = batch.NewAdmission(o.Memory)
 	o.loadingTokens = map[string]int64{}
 	o.former = newFormerJobs(o.ResultTTL)
 	o.lengths = map[string]*sharedLengths{}
@@ -148,6 +153,7 @@
 	}
 	o.stats = stats{
 		speedStats:    newSpeedStats(o.Registry),
+		notAdmitted:   metrics.GetOrRegisterCounter("batch.jobs.not_admitted", o.Registry),
 		listed:        metrics.GetOrRegisterCounter("batch.items.listed", o.Registry),
 		aborted:       metrics.GetOrRegisterCounter("batch.items.aborted", o.Registry),
 		moved:         metrics.GetOrRegisterCounter("batch.runs.moved", o.Registry),
@@ -203,6 +209,24 @@
 	return o.Ineligible != nil && o.Ineligible() && len(o.Jobs()) == 0
 }
 
+// admit returns whether this process has memory for another job, and reserves it.
+func (o *Owner) admit(args AdmitArgs) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	owned := int64(0)
+	for _, j := range o.jobs {
+		if j.id != args.Job {
+			owned += j.size
+		}
+	}
+	admitted := o.admission.Admit(time.Now(), owned, args.Job, args.Size)
+	if !admitted {
+		o.stats.notAdmitted.Inc(1)
+		events.JobNotAdmitted.Log(o.Log, logrus.Fields{"job": args.Job, "bytes": args.Size, "owned_bytes": owned, "owned": len(o.jobs)})
+	}
+	return admitted
+}
+
 // drop gives up a job whose assignment was deleted at the given revision. Its durable results
 // are retained for readers.
 func (o *Owner) drop(id string, revision int64) {
--- a/internal/agentless/batchrun/reassign.go
+++ b/internal/agentless/batchrun/reassign.go
@@ -10,6 +10,7 @@
 	"siskinloom.example/siskinloom/internal/agentless/cluster"
 	"siskinloom.example/siskinloom/internal/events"
 	"siskinloom.example/siskinloom/internal/kv"
+	"siskinloom.example/siskinloom/internal/rpcconn"
 )
 
 const (
@@ -50,32 +51,66 @@
 	f.unresponsive[owner] = time.Now()
 }
 
-// ownerFor returns the owner for a job that is accepted now: the owner chosen for the key, or
-// the next one if that does not answer. After an outage of the store a dead process stays
-// listed for some seconds, and a step that was accepted for it began half a second late.
-func (f *Frontend) ownerFor(ctx context.Context, key string) (string, bool) {
+// ownerFor returns the owner for a job that is accepted now: the owner chosen for its key, or
+// the next one if that does not answer or has no memory for the job. After an outage of the store a
+// dead process stays listed for some seconds, and a step that was accepted for it began half a second
+// late. The error is errOwnersFull if an owner answers that has no memory, and no other one does.
+func (f *Frontend) ownerFor(ctx context.Context, s *submission) (string, error) {
 	owners := f.responsive(f.Members.Owners())
 	if len(owners) == 0 {
-		return "", false
+		return "", errors.Wrap(kv.ErrUnavailable, "no process can own the job")
 	}
+	key := affinityKey(s.record.Model, s.id)
 	first := newOwnerChooser(f.Models).choose(key, owners)
-	others := without(owners, first)
-	if len(others) == 0 || f.reaches(ctx, first) {
-		return first, true
+	firstAnswer := f.requestAdmission(ctx, first, s)
+	if firstAnswer == ownerAdmits {
+		return first, nil
 	}
-	if next := newOwnerChooser(f.Models).choose(key, others); f.reaches(ctx, next) {
-		f.markUnresponsive(first)
-		return next, true
+	nextAnswer := ownerSilent
+	if others := without(owners, first); len(others) > 0 {
+		next := newOwnerChooser(f.Models).choose(key, others)
+		nextAnswer = f.requestAdmission(ctx, next, s)
+		if nextAnswer == ownerAdmits {
+			if firstAnswer == ownerSilent {
+				f.markUnresponsive(first)
+			}
+			return next, nil
+		}
+	}
+	if firstAnswer == ownerFull || nextAnswer == ownerFull {
+		return "", errOwnersFull
 	}
-	return first, true // this process reaches neither of them
+	return first, nil // this process reaches neither of them
 }
 
-// reaches reports whether an owner answers before pingTimeout. A failed call is retried once,
-// because a restarted owner does not answer on the connection to its predecessor.
-func (f *Frontend) reaches(ctx context.Context, name string) bool {
+// ownerAnswer is what an owner says about a job that is being accepted.
+type ownerAnswer int
+
+const (
+	ownerAdmits ownerAnswer = iota
+	ownerFull               // it has no memory for the job
+	ownerSilent             // it does not answer before pingTimeout
+)
+
+// requestAdmission asks an owner whether it can take a job. A failed call is retried once, because a restarted
+// owner does not answer on the connection to its predecessor. An owner of an earlier release does not
+// know the call and admits any job.
+func (f *Frontend) requestAdmission(ctx context.Context, name string, s *submission) ownerAnswer {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
-	return f.Answers(ctx, name) || ctx.Err() == nil && f.Answers(ctx, name)
+	args := AdmitArgs{Job: s.id, Size: s.size}
+	for range 2 {
+		reply, err := callOwner(ctx, f, name, callAdmit, 0, args, func() AdmitReply { return AdmitReply{Full: !f.Local.admit(args)} })
+		switch {
+		case err == nil && reply.Full:
+			return ownerFull
+		case err == nil || rpcconn.IsServerError(err):
+			return ownerAdmits
+		case ctx.Err() != nil:
+			return ownerSilent
+		}
+	}
+	return ownerSilent
 }
 
 // notifyAccepted notifies the owner of a job that was just accepted for it. If the owner does
--- a/internal/agentless/batchrun/records.go
+++ b/internal/agentless/batchrun/records.go
@@ -44,6 +44,7 @@
 	ErrOutcomeUnknown = errors.New("batchrun: outcome is unknown")
 	// ErrTooLarge is returned for a job that exceeds the store's limits.
 	ErrTooLarge       = errors.New("batchrun: batch job is too large")
+	errOwnersFull     = errors.New("batchrun: owners have no memory for the job")
 	errNoOwnerAnswers = errors.New("batchrun: no other owner answers")
 	// ErrUnavailable is returned if neither the job's owner nor the store answers.
 	ErrUnavailable = errors.New("batchrun: neither owner nor store answers")
--- a/internal/agentless/batchrun/rpc.go
+++ b/internal/agentless/batchrun/rpc.go
@@ -17,6 +17,7 @@
 	callMarked   = serviceName + ".Marked"
 	callEnded    = serviceName + ".Ended"
 	callPing     = serviceName + ".Ping"
+	callAdmit    = serviceName + ".Admit"
 	callStanding = serviceName + ".Standing"
 	callLoading  = serviceName + ".Loading"
 	callCopy     = serviceName + ".Copy"
@@ -116,6 +117,22 @@
 // Ping answers that this process is reachable. It is called by net/rpc.
 func (s *Service) Ping(struct{}, *struct{}) error { return nil }
 
+// AdmitArgs asks an owner whether it has memory for a job that is being accepted.
+type AdmitArgs struct {
+	Job  string
+	Size int64 // batch.Spec.Size
+}
+
+// AdmitReply is the reply to Service.Admit.
+type AdmitReply struct{ Full bool }
+
+// Admit returns whether the owner has memory for a job, and reserves it for a while. It is called by
+// net/rpc.
+func (s *Service) Admit(args AdmitArgs, reply *AdmitReply) error {
+	reply.Full = !s.owner.admit(args)
+	return nil
+}
+
 // AssignmentArgs notifies an owner of a change of its assignment for a job.
 type AssignmentArgs struct {
 	Job      string
--- a/internal/agentless/node/node.go
+++ b/internal/agentless/node/node.go
@@ -199,7 +199,7 @@
 	n.adapter = a
 	n.addQuarantine(self, peers, switches)
 	n.registrar = n.newRegistrar(self)
-	n.owner = &batchrun.Owner{Name: s.ID, Store: a.Store, Directory: n.directory, Sender: a.Sender, Quarantine: n.quarantine, Log: log, ResultTTL: s.ResultTTL, Registry: registry, Switches: switches}
+	n.owner = &batchrun.Owner{Name: s.ID, Store: a.Store, Directory: n.directory, Sender: a.Sender, Quarantine: n.quarantine, Log: log, ResultTTL: s.ResultTTL, Memory: s.MemoryBytes, Registry: registry, Switches: switches}
 	if s.DataDir != "" {
 		n.owner.Texts = textlog.New(filepath.Join(s.DataDir, "texts"), log, registry)
 	}
--- a/internal/events/fleet.go
+++ b/internal/events/fleet.go
@@ -25,6 +25,7 @@
 var (
 	JobAccepted    = define(2100, logrus.InfoLevel, "batch job accepted")
 	JobNotAccepted = define(2101, logrus.WarnLevel, "batch job not accepted")
+	JobNotAdmitted = define(2128, logrus.WarnLevel, "owner has no memory for another batch job")
 	JobOwned       = define(2102, logrus.InfoLevel, "this process became the owner of a batch job")
 	JobDropped     = define(2103, logrus.InfoLevel, "this process is no longer the owner of a batch job")
 	JobFinished    = define(2104, logrus.InfoLevel, "batch job is complete")
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -21,7 +21,7 @@
 	headCopies = 3
 	// requestLineBytes is allowed for the request line, which the operator's limit does not count.
 	requestLineBytes = 16 << 10
-	// refuseTimeout bounds the write of a refusal, which fits into an empty send buffer.
+	// refuseTimeout bounds the write of an answer that fits into an empty send buffer.
 	refuseTimeout = 100 * time.Millisecond
 )
 
@@ -94,8 +94,8 @@
 	return n, err
 }
 
-// receivedHead counts n bytes of a head. If there is no memory for them or the head is too long, it
-// answers the request and closes the connection.
+// receivedHead counts n bytes of a head. It closes the connection if there is no memory for them or the
+// head is too long.
 func (c *Conn) receivedHead(n int64) error {
 	c.progress.CompareAndSwap(int32(expected), int32(inHead))
 	c.intake.record(func(l *policy.Ledger, now time.Time) { l.Received(c.id, now) })
@@ -111,7 +111,7 @@
 	}
 	if !c.intake.reserve(c, needed-c.reserved) {
 		c.intake.count(noMemory)
-		c.refuse()
+		_ = c.Close()
 		return ErrNoMemory
 	}
 	c.reserved = needed
@@ -161,24 +161,6 @@
 	return c.closeErr
 }
 
-// refuse closes the connection. A request on it that is still arriving is told that it was not run.
-func (c *Conn) refuse() {
-	if at := c.at(); c.calls != nil || at != inHead && at != inBody {
-		_ = c.Close()
-		return
-	}
-	c.answerAndClose(refusal())
-}
-
-// refuseUnread closes a new connection and refuses the request that its caller is about to send.
-func (c *Conn) refuseUnread() {
-	if c.calls != nil {
-		_ = c.Close()
-		return
-	}
-	c.answerAndClose(refusal())
-}
-
 // answerAndClose writes an answer, unless one is being written, and closes the connection. The answer
 // may be lost if bytes have arrived that were not read.
 func (c *Conn) answerAndClose(answer []byte) {
@@ -198,7 +180,7 @@
 	c.intake.count(noMemory)
 	c.interrupted.Store(true)
 	if c.calls != nil || c.at() <= inHead {
-		c.refuse()
+		_ = c.Close()
 		return
 	}
 	_ = c.SetReadDeadline(time.Unix(1, 0))
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -1,11 +1,11 @@
 // Package intake bounds what callers hold of a process: their connections, and the memory of the
 // requests that arrive on them. All listeners of a process that callers reach share one Intake; the
-// decisions are those of package policy/intake. A connection that has to yield is closed, if its
-// request has not arrived yet after an answer that says that the request was not run.
+// decisions are those of package policy/intake. A connection that has to yield is closed without an
+// answer: its request is not known, and may be a repeat of one that ran. A body that can't be read is
+// reported to the handler, which answers.
 package intake
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -166,11 +166,11 @@
 	in.mu.Unlock()
 	if closing != nil {
 		in.count(noConnection)
-		closing.refuse()
+		_ = closing.Close()
 	}
 	if !ok {
 		in.count(noConnection)
-		c.refuseUnread()
+		_ = c.Close()
 	}
 	return ok
 }
@@ -236,11 +236,3 @@
 
 // RetryAfter returns the time after which a refused caller may come back.
 func RetryAfter() time.Duration { return minRetryAfter + rand.N(retryAfterJitter) }
-
-// refusal returns the answer to a request that has not arrived as a whole, on a connection that is
-// about to be closed.
-func refusal() []byte {
-	const text = "not run; come back later\n"
-	return fmt.Appendf(nil, "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: %.3f\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\n\r\n%s",
-		RetryAfter().Seconds(), len(text), text)
-}
--- a/internal/policy/batch/spec.go
+++ b/internal/policy/batch/spec.go
@@ -73,6 +73,25 @@
 	ErrNoID      = errors.New("batch: an item has no id")
 )
 
+// itemBytes is what an item takes beside its bytes, with the state of its run.
+const itemBytes = 500
+
+// Size returns about how many bytes a process holds of a job that it owns.
+func (s *Spec) Size() int64 {
+	size := int64(0)
+	for i := range s.Items {
+		item := &s.Items[i]
+		size += itemBytes + int64(len(item.ID)+len(item.Path)+len(item.Body)+len(item.Group))
+		for _, pair := range item.Header {
+			size += int64(len(pair[0]) + len(pair[1]))
+		}
+		if item.Scorer != nil {
+			size += int64(len(item.Scorer.ID) + len(item.Scorer.Host) + len(item.Scorer.Path) + len(item.Scorer.Body))
+		}
+	}
+	return size
+}
+
 // Check validates a submitted job.
 func (s *Spec) Check() error {
 	if len(s.Items) == 0 {
