gate: an answer counts until its caller has taken it

What callers saw: 60 callers that ask for an answer of 8 MB and read nothing end an entry (68 MB of 64).

Cause: the memory of an answer was returned once it had been read from the endpoint, while the answer was held for as long as its caller liked; pages of results and bodies of items were not counted.

Change: a request has one lease for the answers that its attempts read, which is released when the answer that is passed on has been written. If another answer needs the memory, the connection that has taken nothing for the longest time, a second at least, is closed; an answer is written in parts of 32 KiB so that a slow reader makes progress. Ruled out: a time limit of each write, which would cut off slow callers in calm.

Specs of the ledger and of the gate; those of the gate with -race.

--- a/internal/agentless/gate/answers_test.go
+++ b/internal/agentless/gate/answers_test.go
@@ -167,3 +167,50 @@
 	r.left -= n
 	return n, nil
 }
+
+var _ = Describe("an answer that its caller does not take", func() {
+	const memory = 6 * gate.AnswerStepBytes // for one step of one answer
+	var g *gate.Gate
+
+	BeforeEach(func() {
+		long := reply{status: http.StatusOK, reader: func() io.Reader { return &repeatedReader{gate.AnswerStepBytes} }}
+		g = newGate(&scriptedSender{replies: []reply{long}}, 1)
+		g.SetMemory(memory)
+	})
+
+	serve := func() gate.Outcome {
+		unhurried := route(deployment.Idempotent)
+		unhurried.Objective = unhurried.Timeout
+		return g.Serve(context.Background(), unhurried, request())
+	}
+
+	// Guards against a process that ends for lack of memory, as answers were counted while they were read
+	// and not while their callers take them.
+	It("holds the memory for answers until it is released", func() {
+		first := serve()
+		Expect(first.End).To(Equal(gate.Answered))
+		Expect(serve().End).To(Equal(gate.Unknown))
+		_, ok := g.HoldAnswer(gate.AnswerStepBytes)
+		Expect(ok).To(BeFalse())
+		_, ok = g.HoldAnswer(1000)
+		Expect(ok).To(BeTrue(), "a short answer is free")
+		first.Release()
+		release, ok := g.HoldAnswer(gate.AnswerStepBytes)
+		Expect(ok).To(BeTrue())
+		release()
+		second := serve()
+		Expect(second.End).To(Equal(gate.Answered))
+		second.Release()
+	})
+
+	It("is given up for another one", func() {
+		first := serve()
+		g.Reclaim = func() bool {
+			go first.Release() // as its connection is closed
+			return true
+		}
+		second := serve()
+		Expect(second.End).To(Equal(gate.Answered))
+		second.Release()
+	})
+})
--- a/internal/agentless/gate/execution.go
+++ b/internal/agentless/gate/execution.go
@@ -51,6 +51,7 @@
 	request *Request
 	service string
 	results chan attempt
+	answers *answerLease // memory of the answers that the attempts read
 
 	fingerprint uint64        // of the request's content
 	heldBack    time.Duration // delay that the quarantine asks for, if it didn't admit the last attempt
@@ -74,7 +75,7 @@
 // newExecution returns the execution of a request that was not sent yet.
 func (g *Gate) newExecution(route *deployment.Route, r *Request) *execution {
 	service := routes.SelectService(route, r.ID)
-	return &execution{gate: g, route: route, request: r, service: service, fingerprint: r.fingerprint(), queue: g.queueFor(service)}
+	return &execution{gate: g, route: route, request: r, service: service, answers: g.newAnswerLease(), fingerprint: r.fingerprint(), queue: g.queueFor(service)}
 }
 
 // quarantineOutcome returns the outcome of a request that is quarantined, and whether it is.
@@ -285,7 +286,7 @@
 // attempt sends the request to one endpoint and reads the whole answer.
 func (e *execution) attempt(ctx context.Context, pick *directory.Pick, remaining time.Duration) attempt {
 	start := time.Now()
-	a, endpointOutcome := e.gate.exchange(ctx, pick, e.request, e.route.Repeatable(), remaining)
+	a, endpointOutcome := e.gate.exchange(ctx, pick, e.request, e.answers, e.route.Repeatable(), remaining)
 	pick.End(time.Now(), endpointOutcome, time.Since(start), 1)
 	if !a.complete && endpointOutcome != endpoints.Cancelled {
 		e.logFailure(pick, a)
@@ -331,13 +332,13 @@
 
 // exchange sends the request to the picked endpoint and classifies its answer. repeatable says
 // whether the request may run more than once.
-func (g *Gate) exchange(ctx context.Context, pick *directory.Pick, r *Request, repeatable bool, remaining time.Duration) (attempt, endpoints.Outcome) {
+func (g *Gate) exchange(ctx context.Context, pick *directory.Pick, r *Request, answers *answerLease, repeatable bool, remaining time.Duration) (attempt, endpoints.Outcome) {
 	answer, err := g.sender.Send(ctx, &pick.Endpoint, r.endpointRequest(remaining))
 	if err != nil {
 		return classifyError(ctx, err)
 	}
 	defer func() { _ = answer.Body.Close() }()
-	body, err := g.answers.read(answer)
+	body, err := answers.read(answer)
 	switch {
 	case answer.NotRun || answer.Replaced:
 		return refusedAttempt(pick, answer), refusalOutcome(answer)
--- a/internal/agentless/gate/gate.go
+++ b/internal/agentless/gate/gate.go
@@ -105,6 +105,16 @@
 	Status     int           // with Answered
 	Header     http.Header
 	Body       []byte
+
+	answers *answerLease // memory of Body; nil: none
+}
+
+// Release returns the memory of the body. It must be called once the body has been written or is not
+// needed.
+func (o *Outcome) Release() {
+	if o.answers != nil {
+		o.answers.release()
+	}
 }
 
 // Gate serves requests. It is safe for concurrent use.
@@ -119,7 +129,10 @@
 	// DeclarationAge returns how long ago the declaration in force in this process was known to be
 	// the newest one, for the log; nil: not known.
 	DeclarationAge func() time.Duration
-	Shares         Shares // limits this process's requests to each service; nil: only by what it learns itself
+	// Reclaim closes the connection of a caller that does not take its answer, and returns false if there
+	// is none; nil: there is never one.
+	Reclaim func() bool
+	Shares  Shares // limits this process's requests to each service; nil: only by what it learns itself
 
 	answers   answerMemory
 	directory *directory.Directory
@@ -206,7 +219,17 @@
 		outcome = Outcome{End: Cancelled}
 	}
 	g.logOutcome(route, r, e, outcome)
-	return outcome
+	return outcome.holding(e.answers)
+}
+
+// holding returns o with the memory of its body, which is released at once if it has none.
+func (o Outcome) holding(answers *answerLease) Outcome {
+	if o.End != Answered {
+		answers.release()
+		return o
+	}
+	o.answers = answers
+	return o
 }
 
 // earnRetries adds to the retry budget of a service for one request and for the time since
--- a/internal/agentless/gate/stream.go
+++ b/internal/agentless/gate/stream.go
@@ -66,7 +66,7 @@
 		outcome = Outcome{End: Cancelled}
 	}
 	g.logOutcome(route, r, &s.execution, outcome)
-	return outcome
+	return outcome.holding(s.answers)
 }
 
 // runAttempts has endpoints serve the stream, one after another, until it is complete or no
@@ -216,7 +216,7 @@
 // plainAnswer returns an endpoint's answer that is not a stream. Once the headers were sent,
 // such an answer can't be passed on.
 func (s *stream) plainAnswer(answer *dispatch.Answer) (Outcome, attempt, endpoints.Outcome) {
-	body, err := s.gate.answers.read(answer)
+	body, err := s.answers.read(answer)
 	switch {
 	case errors.Is(err, errTooLarge), errors.Is(err, errNoMemory):
 		return Outcome{}, attempt{err: err}, endpoints.Answered
--- a/internal/agentless/node/node.go
+++ b/internal/agentless/node/node.go
@@ -389,6 +389,7 @@
 	if n.settings.CallerAddress != "" {
 		handler := n.adapter.Ingress(IngressDeps{Gate: n.gate, Frontend: n.frontend, Stopping: n.stopping.Load})
 		callers := intake.New(intake.Options{Memory: n.settings.MemoryBytes, Descriptors: n.settings.Descriptors, HeaderBytes: n.headerBytes}, n.log, n.registry)
+		n.gate.Reclaim = callers.CloseStalled
 		if s.callers, err = n.serveHTTP(group, n.settings.CallerAddress, handler, callers); err != nil {
 			return nil, err
 		}
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -21,6 +21,8 @@
 	headCopies = 3
 	// requestLineBytes is allowed for the request line, which the operator's limit does not count.
 	requestLineBytes = 16 << 10
+	// sendStepBytes is the part of an answer whose sending counts as progress of a slow reader.
+	sendStepBytes = 32 << 10
 	// refuseTimeout bounds the write of an answer that fits into an empty send buffer.
 	refuseTimeout = 100 * time.Millisecond
 )
@@ -136,9 +138,16 @@
 	defer c.writeMu.Unlock()
 	c.answering = true
 	c.intake.record(func(l *policy.Ledger, now time.Time) { l.Sending(c.id, now, true) })
-	n, err := c.Conn.Write(p)
-	c.intake.record(func(l *policy.Ledger, now time.Time) { l.Sending(c.id, now, false) })
-	return n, err
+	defer c.intake.record(func(l *policy.Ledger, now time.Time) { l.Sending(c.id, now, false) })
+	written := 0
+	for {
+		n, err := c.Conn.Write(p[written:min(len(p), written+sendStepBytes)])
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
+		c.intake.record(func(l *policy.Ledger, now time.Time) { l.Sending(c.id, now, true) })
+	}
 }
 
 // CloseWrite closes the sending side, if the connection has one.
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -92,10 +92,11 @@
 	noMemory                   // its request was given up, as others needed the memory
 	headTooLong                // its head is longer than the operator allows
 	tooSlow                    // its request did not arrive before its time was over
+	unread                     // it did not read its answer, and others needed the memory
 	reasonCount
 )
 
-var reasonNames = [reasonCount]string{"connections", "memory", "head", "slow"}
+var reasonNames = [reasonCount]string{"connections", "memory", "head", "slow", "unread"}
 
 // New returns the account of a process with the given limits.
 func New(o Options, log *logrus.Logger, registry metrics.Registry) *Intake {
@@ -175,6 +176,23 @@
 	return ok
 }
 
+// CloseStalled closes the connection whose answer has not been read for the longest time. It returns
+// false if none has stalled.
+func (in *Intake) CloseStalled() bool {
+	in.mu.Lock()
+	victim := in.ledger.CloseStalled(time.Now())
+	c := in.conns[victim]
+	delete(in.conns, victim)
+	in.updateGauges()
+	in.mu.Unlock()
+	if c == nil {
+		return false
+	}
+	in.count(unread)
+	_ = c.Close()
+	return true
+}
+
 // forget removes a closed connection from the account.
 func (in *Intake) forget(c *Conn) {
 	in.mu.Lock()
--- a/internal/policy/intake/ledger.go
+++ b/internal/policy/intake/ledger.go
@@ -71,6 +71,19 @@
 	return l.last, victim, true
 }
 
+// CloseStalled removes the connection whose answer has not been read for the longest time, which must be
+// closed, and returns it; 0: there is none that stalled.
+func (l *Ledger) CloseStalled(now time.Time) ID {
+	victim, since := ID(0), now.Add(-stallTime)
+	for id, c := range l.connections {
+		if c.phase == sending && !c.active.After(since) {
+			victim, since = id, c.active
+		}
+	}
+	l.Close(victim)
+	return victim
+}
+
 // Close removes a connection and what it holds. Other methods ignore a connection that was removed.
 func (l *Ledger) Close(id ID) {
 	l.releaseAll(l.connections[id])
--- a/internal/policy/intake/ledger_test.go
+++ b/internal/policy/intake/ledger_test.go
@@ -91,6 +91,21 @@
 		})
 	})
 
+	// Guards against answers that are not read and hold the memory for those of others.
+	It("yields the answer that has not been read for the longest time, once it has stalled", func() {
+		slow, slower := open(), open()
+		l.Arrived(slow)
+		l.Arrived(slower)
+		l.Sending(slower, now, true)
+		l.Sending(slow, now, true)
+		after(time.Second)
+		l.Sending(slow, now, true) // a part was taken
+		after(time.Second / 2)
+		Expect(l.CloseStalled(now)).To(Equal(slower))
+		Expect(l.CloseStalled(now)).To(Equal(intake.ID(0)))
+		expectUsage(1, 0)
+	})
+
 	Describe("memory", func() {
 		// Guards against ordinary requests that are refused as unfinished bodies take all memory.
 		It("is given up by the unfinished request that took the most for the longest time", func() {
