intake: a request that has yielded is not served; submissions are told the truth without a flood of reads

Found by reading. A request could yield its memory at the moment when its last byte, or its head without a body, arrived: it was then served while its connection was being closed. The ledger decides both now, under one lock.

--- a/internal/agentless/batchrun/frontend.go
+++ b/internal/agentless/batchrun/frontend.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"siskinloom.example/siskinloom/internal/agentless/cluster"
 	"siskinloom.example/siskinloom/internal/events"
@@ -26,6 +27,9 @@
 	maxUnknownTries = 10
 	// unknownRetryDelay is the delay before a write whose outcome is unknown is retried.
 	unknownRetryDelay = 50 * time.Millisecond
+	// checksPerSecond limits how often the store is asked whether a job was accepted that is refused
+	// now.
+	checksPerSecond = 100
 	// maxKnownJobs limits the jobs of other processes whose records are cached.
 	maxKnownJobs = 64
 	// storePollInterval is the interval at which the store is polled for new results while the
@@ -56,6 +60,7 @@
 	cache resultCache
 
 	mu           sync.Mutex
+	checks       *rate.Limiter // of the store for submissions that are refused
 	known        map[string]*knownJob
 	unresponsive map[string]time.Time // owners that did not answer, with the time of the failed call
 }
@@ -124,8 +129,9 @@
 func (f *Frontend) tryAccept(ctx context.Context, s *submission) (done bool, err error) {
 	owner, err := f.ownerFor(ctx, s)
 	if errors.Is(err, errOwnersFull) {
-		if accepted, readErr := f.Accepted(ctx, s.id); readErr == nil && accepted {
-			return true, nil
+		accepted, checkErr := f.Accepted(ctx, s.id)
+		if checkErr != nil || accepted {
+			return accepted, checkErr
 		}
 	}
 	if err != nil {
@@ -149,13 +155,31 @@
 	return f.acceptedBefore(ctx, s.id)
 }
 
-// Accepted returns whether a job was accepted, by this process or another one.
+// Accepted returns whether a job was accepted, by this process or another one. It asks the store a limited
+// number of times a second, as submissions that are refused may be many. The error says that it is not
+// known.
 func (f *Frontend) Accepted(ctx context.Context, id string) (bool, error) {
 	if f.snapshot(id) != nil {
 		return true, nil
 	}
+	if !f.allowCheck() {
+		return false, errNotChecked
+	}
 	stored, _, err := f.fetchRecord(ctx, id)
-	return err == nil && stored.Revision != 0, err
+	if err != nil {
+		return false, errors.Wrap(errNotChecked, err.Error())
+	}
+	return stored.Revision != 0, nil
+}
+
+// allowCheck returns whether the store may be asked for another job.
+func (f *Frontend) allowCheck() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.checks == nil {
+		f.checks = rate.NewLimiter(checksPerSecond, checksPerSecond)
+	}
+	return f.checks.Allow()
 }
 
 // acceptedBefore reports whether a job whose record exists was accepted. The record of an old job
@@ -205,6 +229,9 @@
 			return nil
 		}
 		last = err
+		if errors.Is(err, errNotChecked) {
+			return errors.Wrap(ErrOutcomeUnknown, err.Error())
+		}
 		if unknownTries == 0 && errors.Is(err, errOwnersFull) {
 			break // nothing is free in a moment
 		}
--- a/internal/agentless/batchrun/owner.go
+++ b/internal/agentless/batchrun/owner.go
@@ -213,11 +213,12 @@
 func (o *Owner) admit(args AdmitArgs) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if o.jobs[args.Job] != nil {
+		return true // submitted again
+	}
 	owned := int64(0)
 	for _, j := range o.jobs {
-		if j.id != args.Job {
-			owned += j.size
-		}
+		owned += j.size
 	}
 	admitted := o.admission.Admit(time.Now(), owned, args.Job, args.Size)
 	if !admitted {
--- a/internal/agentless/batchrun/records.go
+++ b/internal/agentless/batchrun/records.go
@@ -44,6 +44,7 @@
 	ErrOutcomeUnknown = errors.New("batchrun: outcome is unknown")
 	// ErrTooLarge is returned for a job that exceeds the store's limits.
 	ErrTooLarge       = errors.New("batchrun: batch job is too large")
+	errNotChecked     = errors.New("batchrun: whether the job was accepted before is not known")
 	errOwnersFull     = errors.New("batchrun: owners have no memory for the job")
 	errNoOwnerAnswers = errors.New("batchrun: no other owner answers")
 	// ErrUnavailable is returned if neither the job's owner nor the store answers.
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -14,20 +14,9 @@
 // readBody reads the body of a request. If it can't, it adds the reason to the findings and has the
 // connection closed, as what follows on it is the rest of the body.
 func readBody(ctx *fasthttp.RequestCtx, f *findings) []byte {
-	if !ctx.Request.IsBodyStream() {
-		intake.ConnOf(ctx.Conn()).HeadArrived(false)
-		return append([]byte(nil), ctx.PostBody()...)
-	}
-	conn := intake.ConnOf(ctx.Conn())
-	announced := int64(ctx.Request.Header.ContentLength()) // negative for chunks
-	conn.HeadArrived(announced != 0)
-	body, err := conn.ReadBody(ctx.RequestBodyStream(), announced, maxBodyBytes)
-	var joined []byte
+	body, err := receiveBody(ctx)
 	if err == nil {
-		joined, err = conn.Join(body)
-	}
-	if err == nil {
-		return joined
+		return body
 	}
 	ctx.SetConnectionClose()
 	switch {
@@ -43,6 +32,24 @@
 	return nil
 }
 
+// receiveBody returns the body of a request in one piece.
+func receiveBody(ctx *fasthttp.RequestCtx) ([]byte, error) {
+	conn := intake.ConnOf(ctx.Conn())
+	bodyFollows := ctx.Request.IsBodyStream()
+	if !conn.HeadArrived(bodyFollows) {
+		return nil, intake.ErrNoMemory
+	}
+	if !bodyFollows {
+		return append([]byte(nil), ctx.PostBody()...), nil
+	}
+	announced := int64(ctx.Request.Header.ContentLength()) // negative for chunks
+	body, err := conn.ReadBody(ctx.RequestBodyStream(), announced, maxBodyBytes)
+	if err != nil {
+		return nil, err
+	}
+	return conn.Join(body)
+}
+
 // overloadedAnswerFor refuses a request for whose body there is no memory. With an idempotency key it
 // may be a repeat of one that ran, see notReadyAnswerFor.
 func overloadedAnswerFor(ctx *fasthttp.RequestCtx, err error) wire.Answer {
--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -1,7 +1,6 @@
 package intake
 
 import (
-	"context"
 	"io"
 	"net/http"
 	"os"
@@ -61,9 +60,12 @@
 	case err != nil:
 		return payload.Body{}, err
 	}
-	if c != nil {
-		c.bodyBytes = reader.reserved
-		c.bodyArrived()
+	if c == nil {
+		return body, nil
+	}
+	c.bodyBytes = reader.reserved
+	if !c.bodyArrived() {
+		return payload.Body{}, ErrNoMemory
 	}
 	return body, nil
 }
@@ -168,6 +170,3 @@
 	c.intake.record(func(l *policy.Ledger, _ time.Time) { l.Release(c.id, n) })
 	return joined, nil
 }
-
-// Join is Conn.Join for the connection of a request.
-func Join(ctx context.Context, body payload.Body) ([]byte, error) { return connFrom(ctx).Join(body) }
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -23,8 +23,8 @@
 	requestLineBytes = 16 << 10
 	// sendStepBytes is the part of an answer whose sending counts as progress of a slow reader.
 	sendStepBytes = 32 << 10
-	// refuseTimeout bounds the write of an answer that fits into an empty send buffer.
-	refuseTimeout = 100 * time.Millisecond
+	// answerTimeout bounds the write of an answer that fits into an empty send buffer.
+	answerTimeout = 100 * time.Millisecond
 )
 
 // Errors of a connection.
@@ -175,7 +175,7 @@
 func (c *Conn) answerAndClose(answer []byte) {
 	if c.writeMu.TryLock() {
 		if !c.answering {
-			_ = c.SetWriteDeadline(time.Now().Add(refuseTimeout))
+			_ = c.SetWriteDeadline(time.Now().Add(answerTimeout))
 			_, _ = c.Conn.Write(answer) // the caller sees a closed connection otherwise
 		}
 		c.writeMu.Unlock()
@@ -219,10 +219,13 @@
 	return c
 }
 
-// Handler returns a handler that reports the arrival of each request before it calls h.
+// Handler returns a handler that reports the arrival of each request before it calls h. A request whose
+// connection has yielded in the meantime is not served.
 func Handler(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		connFrom(r.Context()).HeadArrived(r.ContentLength != 0)
+		if !connFrom(r.Context()).HeadArrived(r.ContentLength != 0) {
+			panic(http.ErrAbortHandler) // closes the connection
+		}
 		h.ServeHTTP(w, r)
 	})
 }
@@ -241,23 +244,24 @@
 	}
 }
 
-// HeadArrived records that the head of a request has arrived, and whether a body follows. A nil
-// connection records nothing.
-func (c *Conn) HeadArrived(bodyFollows bool) {
+// HeadArrived records that the head of a request has arrived, and whether a body follows. It returns
+// false if the request has yielded and must not be served. A nil connection records nothing.
+func (c *Conn) HeadArrived(bodyFollows bool) bool {
 	if c == nil {
-		return
+		return true
 	}
 	c.progress.Store(int32(inBody))
 	c.intake.record(func(l *policy.Ledger, now time.Time) { l.Receiving(c.id, now) })
-	if !bodyFollows {
-		c.bodyArrived()
-	}
+	return bodyFollows || c.bodyArrived()
 }
 
-// bodyArrived records that a request has arrived as a whole.
-func (c *Conn) bodyArrived() {
+// bodyArrived records that a request has arrived as a whole. It returns false if the request has yielded
+// and must not be served.
+func (c *Conn) bodyArrived() bool {
+	ok := false
+	c.intake.record(func(l *policy.Ledger, _ time.Time) { ok = l.Arrived(c.id) })
 	c.progress.Store(int32(arrived))
-	c.intake.record(func(l *policy.Ledger, _ time.Time) { l.Arrived(c.id) })
+	return ok
 }
 
 // Answered records the end of a request. A nil connection records nothing.
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -53,7 +53,11 @@
 }
 
 func (s Server) handle(ctx *fasthttp.RequestCtx) {
-	intake.ConnOf(ctx.Conn()).HeadArrived(false)
+	if !intake.ConnOf(ctx.Conn()).HeadArrived(false) {
+		ctx.SetConnectionClose()
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
+	}
 	switch string(ctx.Path()) {
 	case "/metrics":
 		ctx.SetContentType("application/json")
--- a/internal/policy/intake/ledger.go
+++ b/internal/policy/intake/ledger.go
@@ -38,6 +38,7 @@
 	began  time.Time // when the current request began to arrive, or the connection was opened
 	active time.Time // when the last byte was received or sent
 	memory int64
+	given  bool // its memory was given to another request while this one was arriving
 }
 
 // Ledger is the account of a process. It is not safe for concurrent use.
@@ -102,11 +103,15 @@
 	c.active = now
 }
 
-// Arrived records that a request has arrived as a whole.
-func (l *Ledger) Arrived(id ID) {
-	if c := l.connections[id]; c != nil {
-		c.phase = serving
+// Arrived records that a request has arrived as a whole. It returns false if the request has yielded its
+// memory, or its connection, and must not be served.
+func (l *Ledger) Arrived(id ID) bool {
+	c := l.connections[id]
+	if c == nil || c.given {
+		return false
 	}
+	c.phase = serving
+	return true
 }
 
 // Sending records that an answer, or a part of it, is being written, or has been.
@@ -162,6 +167,7 @@
 	}
 	for _, victim := range victims {
 		l.releaseAll(l.connections[victim])
+		l.connections[victim].given = true
 	}
 	c.memory += n
 	l.memory += n
--- a/internal/policy/intake/ledger_test.go
+++ b/internal/policy/intake/ledger_test.go
@@ -119,6 +119,23 @@
 			expectUsage(3, 250)
 		})
 
+		// Guards against a request that is served without memory, or whose connection is closed while it
+		// is being served, as its last byte arrives at the moment when it yields.
+		It("is given up by a request that then can't be served any more, or by none", func() {
+			yielding, served, other := open(), open(), open()
+			reserve(yielding, 500)
+			reserve(served, 400)
+			after(time.Second)
+			Expect(l.Arrived(served)).To(BeTrue())
+			l.Answered(other, now)
+			l.Received(other, now)
+			Expect(reserve(other, 200)).To(Equal([]intake.ID{yielding}))
+			Expect(l.Arrived(yielding)).To(BeFalse())
+			Expect(l.Arrived(other)).To(BeTrue())
+			l.Close(other)
+			Expect(l.Arrived(other)).To(BeFalse(), "its connection has yielded")
+		})
+
 		It("is not given up by a request that is being served", func() {
 			served, other := open(), open()
 			reserve(served, memory)
